--- /dev/null
+++ b/crates/types/src/fingerprint.rs
@@ -0,0 +1,68 @@
+//! Identity of a request's content, independent of its request id.
+
+use std::fmt;
+
+use serde::{de, Deserialize, Deserializer, Serialize, Serializer};
+
+const FINGERPRINT_BYTES: usize = 16;
+
+/// BLAKE3 digest over target and body, cut to 16 bytes.
+///
+/// A caller that sends the same content again, through any entry and with any
+/// request id, gets the same fingerprint.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Fingerprint([u8; FINGERPRINT_BYTES]);
+
+impl Fingerprint {
+    /// Digests a request; `target` is the model or the service path.
+    pub fn of(target: &str, body: &[u8]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&(target.len() as u64).to_le_bytes());
+        hasher.update(target.as_bytes());
+        hasher.update(body);
+        let mut bytes = [0; FINGERPRINT_BYTES];
+        bytes.copy_from_slice(&hasher.finalize().as_bytes()[..FINGERPRINT_BYTES]);
+        Self(bytes)
+    }
+
+    /// Parses the 32-digit hexadecimal form; `None` if it is not one.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        if text.len() != FINGERPRINT_BYTES * 2 || !text.is_ascii() {
+            return None;
+        }
+        let mut bytes = [0; FINGERPRINT_BYTES];
+        for (i, byte) in bytes.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(&text[i * 2..i * 2 + 2], 16).ok()?;
+        }
+        Some(Self(bytes))
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for byte in self.0 {
+            write!(f, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Debug for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Fingerprint({self})")
+    }
+}
+
+impl Serialize for Fingerprint {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for Fingerprint {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = <std::borrow::Cow<'de, str>>::deserialize(deserializer)?;
+        Fingerprint::from_hex(&text)
+            .ok_or_else(|| de::Error::custom("a fingerprint has 32 hexadecimal digits"))
+    }
+}
