--- /dev/null
+++ b/crates/limpetgw/src/cli/entry.rs
@@ -0,0 +1,81 @@
+//! `limpetgw entry`.
+
+use std::{net::SocketAddr, time::Duration};
+
+use clap::{Args, ValueEnum};
+use policy::choice::Rule;
+
+use super::{common::CommonArgs, CliError};
+
+/// Rule that chooses an upstream instance.
+#[derive(Clone, Copy, Debug, Default, ValueEnum)]
+enum RuleArg {
+    /// Aged load with own observation.
+    #[default]
+    Aged,
+    /// Each in turn (for comparison).
+    RoundRobin,
+    /// Lowest reported load (for comparison).
+    LeastUsed,
+}
+
+/// Settings of an entry.
+#[derive(Debug, Args)]
+pub(crate) struct EntryArgs {
+    #[command(flatten)]
+    common: CommonArgs,
+    /// Address for callers.
+    #[arg(long, env = "LIMPETGW_LISTEN", default_value = "127.0.0.1:8080")]
+    listen: SocketAddr,
+    /// Address for /metrics and for calls of other processes.
+    #[arg(
+        long,
+        env = "LIMPETGW_OPERATOR_LISTEN",
+        default_value = "127.0.0.1:8081"
+    )]
+    operator_listen: SocketAddr,
+    /// Rule that chooses an upstream instance.
+    #[arg(long, env = "LIMPETGW_RULE", value_enum, default_value = "aged")]
+    rule: RuleArg,
+    /// Instances of one upstream that this entry uses at most.
+    #[arg(long, env = "LIMPETGW_SUBSET_MAX", default_value_t = 16, value_parser = clap::value_parser!(u16).range(1..=256))]
+    subset_max: u16,
+    /// Longest wait for a caller's whole request, in milliseconds.
+    #[arg(long, env = "LIMPETGW_REQUEST_TIMEOUT_MS", default_value_t = 10_000, value_parser = clap::value_parser!(u64).range(100..=600_000))]
+    request_timeout_ms: u64,
+    /// Time for which a draining entry still answers new requests, in milliseconds.
+    #[arg(long, env = "LIMPETGW_BALANCER_LAG_MS", default_value_t = 2_000, value_parser = clap::value_parser!(u64).range(0..=600_000))]
+    balancer_lag_ms: u64,
+}
+
+impl EntryArgs {
+    pub(crate) async fn run(&self) -> Result<(), CliError> {
+        if self.listen == self.operator_listen && self.listen.port() != 0 {
+            return Err(CliError::Setting {
+                flag: "--operator-listen",
+                value: self.operator_listen.to_string(),
+                allowed: "an address other than --listen".into(),
+            });
+        }
+        let rule = match self.rule {
+            RuleArg::Aged => Rule::Aged,
+            RuleArg::RoundRobin => Rule::RoundRobin,
+            RuleArg::LeastUsed => Rule::LeastUsed,
+        };
+        let settings = entry::Settings::builder()
+            .instance(self.common.instance())
+            .zone(self.common.zone())
+            .listen(self.listen)
+            .operator_listen(self.operator_listen)
+            .platform(self.common.platform.client()?)
+            .secrets(self.common.platform.secrets()?)
+            .seeds(self.common.seeds()?)
+            .rule(rule)
+            .subset_max(usize::from(self.subset_max))
+            .request_timeout(Duration::from_millis(self.request_timeout_ms))
+            .balancer_lag(Duration::from_millis(self.balancer_lag_ms))
+            .build();
+        self.common.start_telemetry();
+        Ok(entry::run(settings).await?)
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,13 @@
-//! Placeholder.
+//! Client of the platform: its object API and its instance list.
+//!
+//! The rest of the system sees the two traits only, so that the users' own
+//! platform is one adapter and tests can pass a fake.
+
+mod api;
+mod http;
+
+pub use api::{
+    BoxFuture, Condition, Instance, InstanceList, InstanceSource, InstanceState, Key, Listed,
+    Object, ObjectStore, Role, StoreError,
+};
+pub use http::HttpPlatform;
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,1 +1,12 @@
-//! Placeholder.
+//! Logs, numbered events and metrics.
+//!
+//! Every decision of the system is logged as one numbered event. The event
+//! types are the catalogue: `docs/events.md` is generated from them.
+
+pub mod events;
+mod log_setup;
+mod metrics_setup;
+
+pub use events::{emit, Event, EventSpec};
+pub use log_setup::{init_log, LogFormat, LogSetupError};
+pub use metrics_setup::{init_metrics, render_metrics};
--- /dev/null
+++ b/crates/telemetry/src/log_setup.rs
@@ -0,0 +1,76 @@
+//! The process's log output.
+
+use std::{
+    fmt,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use crate::events::EVENT_TARGET;
+
+/// Form of the log lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogFormat {
+    /// One JSON object a line.
+    #[default]
+    Json,
+    /// Text for a terminal.
+    Text,
+}
+
+/// The log could not be set up.
+#[derive(Debug, thiserror::Error)]
+#[error("the log is already set up")]
+pub struct LogSetupError;
+
+/// Sends log lines to standard error.
+///
+/// # Errors
+///
+/// [`LogSetupError`] when the process has a logger already.
+pub fn init_log(format: LogFormat, level: log::LevelFilter) -> Result<(), LogSetupError> {
+    let dispatch = fern::Dispatch::new()
+        .level(log::LevelFilter::Warn)
+        .level_for(EVENT_TARGET, level)
+        .level_for("limpetgw", level)
+        .chain(std::io::stderr());
+    let dispatch = match format {
+        LogFormat::Json => dispatch.format(|out, message, record| {
+            out.finish(format_args!("{}", json_line(message, record)))
+        }),
+        LogFormat::Text => dispatch.format(|out, message, record| {
+            out.finish(format_args!(
+                "{} {} {} {message}",
+                unix_ms(),
+                record.level(),
+                record.target()
+            ))
+        }),
+    };
+    dispatch.apply().map_err(|_| LogSetupError)
+}
+
+fn json_line(message: &fmt::Arguments<'_>, record: &log::Record<'_>) -> String {
+    let time_ms = unix_ms();
+    let level = record.level();
+    let text = message.to_string();
+    if record.target() == EVENT_TARGET {
+        let mut parts = text.splitn(3, ' ');
+        let number = parts.next().unwrap_or_default();
+        let name = parts.next().unwrap_or_default();
+        let fields = parts.next().unwrap_or("{}");
+        return format!(
+            r#"{{"time_unix_ms":{time_ms},"level":"{level}","number":{number},"event":"{name}","fields":{fields}}}"#
+        );
+    }
+    let target = record.target();
+    let message = serde_json::Value::String(text);
+    format!(
+        r#"{{"time_unix_ms":{time_ms},"level":"{level}","target":"{target}","message":{message}}}"#
+    )
+}
+
+fn unix_ms() -> u128 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |span| span.as_millis())
+}
