--- a/crates/rpc/src/secret.rs
+++ b/crates/rpc/src/secret.rs
@@ -28,10 +28,7 @@
     /// secret of one length.
     pub fn accepts(&self, received: &str) -> bool {
         let matches = |secret: &str| -> Choice { secret.as_bytes().ct_eq(received.as_bytes()) };
-        let previous = self
-            .previous
-            .as_deref()
-            .map_or(Choice::from(0), |secret| matches(secret));
+        let previous = self.previous.as_deref().map_or(Choice::from(0), matches);
         (matches(&self.current) | previous).into()
     }
 }
