--- a/crates/limpetgw/src/cli/mod.rs
+++ b/crates/limpetgw/src/cli/mod.rs
@@ -3,6 +3,7 @@
 mod agent;
 mod common;
 mod entry;
+mod explain;
 
 use std::process::ExitCode;
 
@@ -25,6 +26,8 @@
     Entry(Box<entry::EntryArgs>),
     /// Run an agent: the gate beside one upstream instance.
     Agent(Box<agent::AgentArgs>),
+    /// Show why a request went where it went, from log files.
+    Explain(explain::ExplainArgs),
     /// Print a completion script for a shell.
     Completions {
         /// The shell.
@@ -42,6 +45,9 @@
         value: String,
         allowed: String,
     },
+    /// The command found nothing to show.
+    #[error("nothing found")]
+    NothingFound,
     /// The entry could not run.
     #[error(transparent)]
     Entry(#[from] ::entry::RunError),
@@ -54,7 +60,7 @@
     pub(crate) fn exit_code(&self) -> ExitCode {
         match self {
             CliError::Setting { .. } => ExitCode::from(EXIT_USAGE),
-            CliError::Entry(_) | CliError::Agent(_) => ExitCode::FAILURE,
+            CliError::NothingFound | CliError::Entry(_) | CliError::Agent(_) => ExitCode::FAILURE,
         }
     }
 }
@@ -64,6 +70,7 @@
         match self.command {
             Command::Entry(args) => args.run().await,
             Command::Agent(args) => args.run().await,
+            Command::Explain(args) => args.run(),
             Command::Completions { shell } => {
                 let mut command = Cli::command();
                 clap_complete::generate(shell, &mut command, "limpetgw", &mut std::io::stdout());
