Agent: dispatch from an entry to the engine or service and back

The thin path: queue in the scheduler, start, relay of checked events, verdicts, recall, drain, status, health and metrics on the internal listener.

A client connection of trillium-client that is dropped in the middle of a keep-alive answer is read on in the background and pooled; closing it needs 'connection: close' in its request headers before the drop. Without that a cancel would not stop the upstream and a late answer would stay on a pooled connection. Answer does it in its Drop.

rpc gains UPSTREAM_STATUS_HEADER: a plain service's own status, since an answer that is passed on always has status 200.

--- /dev/null
+++ b/crates/agent/src/agent.rs
@@ -0,0 +1,159 @@
+//! What the agent's tasks share.
+
+use std::sync::{
+    atomic::{AtomicUsize, Ordering},
+    Arc, Mutex, MutexGuard, PoisonError,
+};
+
+use policy::{
+    quarantine::SuspectMemory,
+    schedule::{ClassRules, LoadReport, Settings as ScheduleSettings},
+};
+use rpc::DispatchReply;
+use shared_state::SharedState;
+use types::{Fingerprint, Generation, InstanceId};
+
+use crate::{clock::Clock, gate::Gate, settings::Settings, upstream::Upstream};
+
+/// Slack on the age of a request that a recall may refer to, in milliseconds.
+const RECALL_SLACK_MS: u64 = 30_000;
+
+/// The state of one agent.
+#[derive(Debug)]
+pub(crate) struct Agent {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) gate: Arc<Gate>,
+    pub(crate) upstream: Upstream,
+    pub(crate) shared: Arc<SharedState>,
+    pub(crate) in_flight: InFlight,
+    suspects: Mutex<SuspectMemory>,
+}
+
+/// Counts exchanges with entries that have not ended.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct InFlight(Arc<AtomicUsize>);
+
+/// One exchange; counted until it is dropped.
+#[derive(Debug)]
+pub(crate) struct InFlightGuard(Arc<AtomicUsize>);
+
+impl InFlight {
+    /// Counts an exchange.
+    pub(crate) fn enter(&self) -> InFlightGuard {
+        self.0.fetch_add(1, Ordering::Relaxed);
+        InFlightGuard(self.0.clone())
+    }
+
+    /// Exchanges now.
+    pub(crate) fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Agent {
+    /// Makes an agent that holds no request.
+    pub(crate) fn new(settings: Settings, shared: Arc<SharedState>) -> Self {
+        let clock = Clock::new();
+        let (schedule, horizon_ms) = schedule_settings(&settings, &shared);
+        Self {
+            clock,
+            gate: Gate::new(clock, schedule, horizon_ms),
+            upstream: Upstream::new(settings.upstream_addr.clone()),
+            shared,
+            in_flight: InFlight::default(),
+            suspects: Mutex::new(SuspectMemory::new()),
+            settings,
+        }
+    }
+
+    /// Applies the configuration in force to the scheduler.
+    pub(crate) fn reconfigure(&self) {
+        let (schedule, horizon_ms) = schedule_settings(&self.settings, &self.shared);
+        self.gate.reconfigure(schedule, horizon_ms);
+    }
+
+    /// Notes what a message says about its sender's configuration.
+    pub(crate) fn note_peer(&self, sender: &InstanceId, generation: Generation) {
+        if generation <= self.shared.config().generation {
+            return;
+        }
+        if let Some(peer) = self.shared.membership().find(sender) {
+            self.shared.on_peer_generation(&peer.addr, generation);
+        }
+    }
+
+    /// What every answer to an entry says about this agent.
+    pub(crate) fn reply(&self) -> DispatchReply {
+        DispatchReply {
+            sender: self.settings.instance.clone(),
+            generation: self.shared.config().generation,
+            load: self.load(),
+            leaving: self.gate.is_draining(),
+        }
+    }
+
+    /// The load now; without capacity while the upstream can't be reached.
+    pub(crate) fn load(&self) -> LoadReport {
+        let mut load = self.gate.load();
+        if !self.upstream.is_reachable() {
+            load.running_limit = 0;
+        }
+        load
+    }
+
+    /// Counts generated tokens.
+    pub(crate) fn count_tokens(&self, tokens: u32) {
+        metrics::counter!("limpetgw_agent_tokens_total").increment(u64::from(tokens));
+    }
+
+    /// Notes a whole answer.
+    pub(crate) fn on_whole(&self, fingerprint: Fingerprint) {
+        let now = self.clock.now();
+        self.suspects().on_whole(now, fingerprint);
+    }
+
+    /// The memory of suspected contents.
+    pub(crate) fn suspects(&self) -> MutexGuard<'_, SuspectMemory> {
+        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The scheduler's settings from the configuration in force, and the age up
+/// to which a recall may refer to a request.
+fn schedule_settings(settings: &Settings, shared: &SharedState) -> (ScheduleSettings, u64) {
+    let snapshot = shared.config();
+    let document = &snapshot.document;
+    let upstream = document.upstreams.get(&settings.upstream);
+    let classes = document.classes.iter().map(|(name, class)| {
+        let rules = ClassRules {
+            priority: types::Priority(class.priority),
+            first_token_target_ms: class.first_token_target_ms,
+            min_share_permille: class.min_share_permille,
+            queue_limit: class.queue_limit,
+        };
+        (name.clone(), rules)
+    });
+    let weights = document.teams.iter().filter(|(_, team)| team.weight != 1);
+    let schedule = ScheduleSettings::builder()
+        .discipline(settings.discipline)
+        .running_min(upstream.map_or(1, |upstream| upstream.running_min))
+        .running_max(upstream.map_or(1, |upstream| upstream.running_max))
+        .reserved_slots(upstream.map_or(0, |upstream| upstream.reserved_slots))
+        .classes(classes.collect())
+        .team_weights(
+            weights
+                .map(|(name, team)| (name.clone(), team.weight))
+                .collect(),
+        )
+        .build();
+    let deadlines = document.classes.values().map(|class| class.deadline_ms);
+    let horizon_ms = 2 * deadlines.max().unwrap_or_default() + RECALL_SLACK_MS;
+    (schedule, horizon_ms)
+}
--- /dev/null
+++ b/crates/agent/src/calls.rs
@@ -0,0 +1,74 @@
+//! JSON-RPC calls of entries, agents and operators.
+
+use std::sync::Arc;
+
+use rpc::{
+    methods::{
+        Answered, Call, Drain, ExchangeEvidence, GetConfig, GetStatus, RecallAnswer, RecallRequest,
+        Status,
+    },
+    MethodError, Methods,
+};
+
+use crate::agent::Agent;
+
+type Served<A> = Result<Answered<A>, MethodError>;
+
+/// The methods that an agent serves.
+pub(crate) fn methods(agent: Arc<Agent>) -> Methods<Arc<Agent>> {
+    Methods::new(agent)
+        .with::<RecallRequest, _, _>(|call, agent| async move {
+            note(&agent, &call);
+            let recall = agent
+                .gate
+                .recall(&call.params.request_id, call.params.cancel);
+            answered(&agent, RecallAnswer { recall })
+        })
+        .with::<GetStatus, _, _>(|call, agent| async move {
+            note(&agent, &call);
+            answered(&agent, status(&agent))
+        })
+        .with::<GetConfig, _, _>(|call, agent| async move {
+            note(&agent, &call);
+            answered(&agent, None)
+        })
+        .with::<ExchangeEvidence, _, _>(|call, agent| async move {
+            note(&agent, &call);
+            let now = agent.clock.now();
+            let mut suspects = agent.suspects();
+            suspects.merge(now, &call.params);
+            let evidence = suspects.export(now);
+            drop(suspects);
+            answered(&agent, evidence)
+        })
+        .with::<Drain, _, _>(|call, agent| async move {
+            note(&agent, &call);
+            agent.gate.drain();
+            answered(&agent, ())
+        })
+}
+
+fn note<P>(agent: &Agent, call: &Call<P>) {
+    agent.note_peer(&call.sender, call.generation);
+}
+
+fn answered<A>(agent: &Agent, answer: A) -> Served<A> {
+    Ok(Answered {
+        sender: agent.settings.instance.clone(),
+        generation: agent.shared.config().generation,
+        answer,
+    })
+}
+
+fn status(agent: &Agent) -> Status {
+    Status {
+        instance: agent.settings.instance.clone(),
+        role: "agent".into(),
+        generation: agent.shared.config().generation,
+        draining: agent.gate.is_draining(),
+        in_flight: u32::try_from(agent.gate.held()).unwrap_or(u32::MAX),
+        load: Some(agent.load()),
+        upstreams: Vec::new(),
+        membership_age_ms: 0,
+    }
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -4,9 +4,26 @@
 //! instance (has a request started, is it leaving, how loaded is it) is
 //! decided here, by one process with one state for each request.
 
+mod agent;
+mod calls;
+mod clock;
+mod dispatch;
+mod evidence;
+mod gate;
+mod refusal;
+mod relay;
+mod server;
 mod settings;
+mod stop;
+mod upstream;
 
 pub use settings::Settings;
+pub use stop::Running;
+
+use std::sync::Arc;
+
+use shared_state::SharedState;
+use telemetry::events::AgentEvent;
 
 /// The agent could not run.
 #[derive(Debug, thiserror::Error)]
@@ -19,6 +36,9 @@
         /// The system's word.
         reason: String,
     },
+    /// The signal handler could not be installed.
+    #[error("can't handle SIGTERM: {0}")]
+    Signal(std::io::Error),
 }
 
 /// Runs an agent until it has drained after SIGTERM or an operator's drain.
@@ -26,6 +46,46 @@
 /// # Errors
 ///
 /// [`RunError`] when it can't start.
-pub async fn run(_settings: Settings) -> Result<(), RunError> {
+pub async fn run(settings: Settings) -> Result<(), RunError> {
+    let terminate = stop::on_terminate().map_err(RunError::Signal)?;
+    let platform = Arc::new(settings.platform.clone());
+    let shared = shared_state::Settings::builder()
+        .instance(settings.instance.clone())
+        .store(platform.clone())
+        .instances(platform)
+        .peers(rpc::Client::new(
+            settings.instance.clone(),
+            settings.secrets.clone(),
+        ))
+        .seeds(settings.seeds.clone())
+        .build();
+    let instance = settings.instance.clone();
+    let running = start(settings, SharedState::start(shared)).await?;
+    announce(&instance, &running);
+    running.drain_when(terminate);
+    running.stopped().await;
     Ok(())
 }
+
+/// Starts an agent on a given shared state.
+///
+/// # Errors
+///
+/// [`RunError`] when it can't listen.
+pub async fn start(settings: Settings, shared: Arc<SharedState>) -> Result<Running, RunError> {
+    let agent = Arc::new(agent::Agent::new(settings, shared));
+    let (addr, server) = server::start(agent.clone()).await?;
+    Ok(Running::new(agent, addr, server))
+}
+
+fn announce(instance: &types::InstanceId, running: &Running) {
+    let addr = running.addr().to_string();
+    let line = serde_json::json!({
+        "listening": {"role": "agent", "instance": instance, "addr": addr}
+    });
+    println!("{line}");
+    telemetry::emit(&AgentEvent::Listening {
+        instance: instance.clone(),
+        addr,
+    });
+}
--- /dev/null
+++ b/crates/agent/src/relay/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the pure parts of the relay.
--- /dev/null
+++ b/crates/agent/src/stop.rs
@@ -0,0 +1,113 @@
+//! A running agent and its graceful shutdown.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
+    time::{Duration, Instant},
+};
+
+use futures_lite::FutureExt;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use smol::Timer;
+use trillium_server_common::ServerHandle;
+
+use crate::agent::Agent;
+
+/// Time between two looks at deadlines, pauses and the configuration.
+const TICK: Duration = Duration::from_millis(25);
+
+/// Longest wait for the connections to close at the end.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// An agent that serves.
+#[derive(Debug)]
+pub struct Running {
+    agent: Arc<Agent>,
+    addr: SocketAddr,
+    server: ServerHandle,
+}
+
+/// The flag that SIGTERM and SIGINT set.
+pub(crate) fn on_terminate() -> io::Result<Arc<AtomicBool>> {
+    let flag = Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(SIGTERM, flag.clone())?;
+    signal_hook::flag::register(SIGINT, flag.clone())?;
+    Ok(flag)
+}
+
+impl Running {
+    pub(crate) fn new(agent: Arc<Agent>, addr: SocketAddr, server: ServerHandle) -> Self {
+        async_global_executor::spawn(tick(agent.clone())).detach();
+        Self {
+            agent,
+            addr,
+            server,
+        }
+    }
+
+    /// The bound address of the internal listener.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Refuses new requests from now on.
+    pub fn drain(&self) {
+        self.agent.gate.drain();
+    }
+
+    /// Drains once `flag` is set.
+    pub(crate) fn drain_when(&self, flag: Arc<AtomicBool>) {
+        let agent = self.agent.clone();
+        async_global_executor::spawn(async move {
+            while !flag.load(Ordering::Relaxed) {
+                Timer::after(TICK).await;
+            }
+            agent.gate.drain();
+        })
+        .detach();
+    }
+
+    /// Waits until the agent was drained, has ended all requests and has
+    /// stayed reachable for the membership lag after that.
+    pub async fn stopped(self) {
+        let mut idle_since = None;
+        loop {
+            Timer::after(TICK).await;
+            let is_idle = self.agent.gate.is_draining()
+                && self.agent.gate.held() == 0
+                && self.agent.in_flight.count() == 0;
+            idle_since = match is_idle {
+                true => idle_since.or_else(|| Some(Instant::now())),
+                false => None,
+            };
+            let lag = self.agent.settings.membership_lag;
+            if idle_since.is_some_and(|since| since.elapsed() >= lag) {
+                break;
+            }
+        }
+        let close = async {
+            self.server.shut_down().await;
+        };
+        let timeout = async {
+            Timer::after(CLOSE_TIMEOUT).await;
+        };
+        close.or(timeout).await;
+    }
+}
+
+async fn tick(agent: Arc<Agent>) {
+    let mut generation = agent.shared.config().generation;
+    loop {
+        Timer::after(TICK).await;
+        let now_in_force = agent.shared.config().generation;
+        if now_in_force != generation {
+            generation = now_in_force;
+            agent.reconfigure();
+        }
+        agent.gate.tick();
+    }
+}
--- /dev/null
+++ b/crates/agent/src/upstream/mod.rs
@@ -0,0 +1,153 @@
+//! The connection to the one upstream instance.
+
+mod answer;
+mod connector;
+mod engine;
+mod fault;
+mod service;
+
+pub(crate) use answer::Answer;
+pub(crate) use engine::completion_body;
+pub(crate) use fault::Fault;
+pub(crate) use service::{read_whole, CallAnswer};
+
+use std::{
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
+    time::Duration,
+};
+
+use futures_lite::FutureExt;
+use rpc::Target;
+use trillium_client::{Client, Conn, Method};
+use types::RequestId;
+
+use connector::UpstreamConnector;
+
+/// Header that identifies a request to and from the upstream.
+pub(crate) const REQUEST_ID_HEADER: &str = "x-request-id";
+
+/// Longest wait for the engine's answer to a cancel.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Request bodies are sent at once up to this size, without asking the
+/// upstream first.
+const SENT_AT_ONCE_MAX_BYTES: usize = 16 << 20;
+
+/// Client of the upstream instance beside this agent.
+#[derive(Debug)]
+pub(crate) struct Upstream {
+    http: Client,
+    connector: UpstreamConnector,
+    addr: Arc<str>,
+    is_reachable: AtomicBool,
+}
+
+impl Upstream {
+    /// Makes a client of the instance at `addr` (`IP:port`).
+    pub(crate) fn new(addr: Arc<str>) -> Self {
+        let connector = UpstreamConnector::new();
+        let http = Client::new(connector).with_max_buffered_request_body(SENT_AT_ONCE_MAX_BYTES);
+        Self {
+            http,
+            connector,
+            addr,
+            is_reachable: AtomicBool::new(true),
+        }
+    }
+
+    /// Whether the last connect succeeded.
+    pub(crate) fn is_reachable(&self) -> bool {
+        self.is_reachable.load(Ordering::Relaxed)
+    }
+
+    /// Tries a connect, without sending anything.
+    pub(crate) async fn probe(&self) -> bool {
+        let is_reachable = self.connector.probe(&self.addr).await;
+        self.is_reachable.store(is_reachable, Ordering::Relaxed);
+        is_reachable
+    }
+
+    /// Starts a completion and waits for the head of the answer.
+    pub(crate) async fn complete(
+        &self,
+        request_id: &RequestId,
+        body: Vec<u8>,
+    ) -> Result<Answer, Fault> {
+        let conn = self
+            .request(Method::Post, "/v1/chat/completions", request_id)
+            .with_request_header("content-type", "application/json")
+            .with_body(body);
+        self.send(conn, request_id).await
+    }
+
+    /// Forwards a call to a plain service and waits for the head of the answer.
+    pub(crate) async fn call(
+        &self,
+        request_id: &RequestId,
+        target: &Target,
+        body: Vec<u8>,
+    ) -> Result<Answer, Fault> {
+        let Target::Call {
+            method,
+            path,
+            content_type,
+            idempotency_key,
+        } = target
+        else {
+            return Err(Fault::Unsendable("not a call to a service".into()));
+        };
+        let method: Method = method
+            .parse()
+            .map_err(|_| Fault::Unsendable(format!("the method {method:?} is unknown")))?;
+        let mut conn = self.request(method, path, request_id);
+        if let Some(content_type) = content_type {
+            conn = conn.with_request_header("content-type", content_type.clone());
+        }
+        if let Some(key) = idempotency_key {
+            conn = conn.with_request_header("idempotency-key", key.clone());
+        }
+        if !body.is_empty() {
+            conn = conn.with_body(body);
+        }
+        self.send(conn, request_id).await
+    }
+
+    /// Stops a request at the engine and waits until the engine has said so.
+    /// The connection of the request is closed by dropping its answer.
+    pub(crate) async fn cancel(&self, request_id: &RequestId) {
+        let body = serde_json::json!({ "request_id": request_id }).to_string();
+        let conn = self
+            .request(Method::Post, "/cancel", request_id)
+            .with_request_header("content-type", "application/json")
+            .with_body(body);
+        let exchange = async {
+            // The closed connection stops the request too: nothing to do on failure.
+            if let Ok(mut conn) = conn.await {
+                let _ = conn.response_body().read_bytes().await;
+            }
+        };
+        let timeout = async {
+            smol::Timer::after(CANCEL_TIMEOUT).await;
+        };
+        exchange.or(timeout).await;
+    }
+
+    fn request(&self, method: Method, path: &str, request_id: &RequestId) -> Conn {
+        let url = format!("http://{}{path}", self.addr);
+        self.http
+            .build_conn(method, url)
+            .with_request_header(REQUEST_ID_HEADER, request_id.to_string())
+    }
+
+    async fn send(&self, conn: Conn, request_id: &RequestId) -> Result<Answer, Fault> {
+        let answer = Answer::to(conn, request_id).await;
+        let is_unreachable = matches!(answer, Err(Fault::Unreachable(_)));
+        if is_unreachable == self.is_reachable() {
+            self.is_reachable.store(!is_unreachable, Ordering::Relaxed);
+        }
+        answer
+    }
+}
--- /dev/null
+++ b/crates/agent/tests/support/engine.rs
@@ -0,0 +1,280 @@
+//! A fake upstream: each request that arrives is handed to the test, which
+//! writes the answer.
+
+use std::{
+    collections::VecDeque,
+    io,
+    pin::Pin,
+    task::{ready, Context, Poll},
+    time::Duration,
+};
+
+use futures_lite::{AsyncRead, Stream};
+use serde_json::{json, Value};
+use smol::channel::{unbounded, Receiver, Sender};
+use trillium::{Body, Conn, Method, Status};
+use trillium_server_common::ServerHandle;
+
+use super::soon;
+
+/// A part of an answer.
+pub enum Part {
+    /// Bytes of the body.
+    Bytes(Vec<u8>),
+    /// Breaks the connection.
+    Cut,
+}
+
+/// A request that arrived at the upstream.
+pub struct Arrived {
+    pub method: String,
+    pub path: String,
+    pub request_id: String,
+    pub idempotency_key: Option<String>,
+    pub body: Value,
+    /// Address of the connection's other end.
+    pub connection: String,
+    head: Sender<Head>,
+    parts: Sender<Part>,
+    /// Id that the answer carries.
+    pub answer_id: String,
+    next_index: u32,
+}
+
+struct Head {
+    status: u16,
+    request_id: String,
+    length: Option<u64>,
+    parts: Receiver<Part>,
+}
+
+pub struct Engine {
+    pub addr: String,
+    pub arrived: Receiver<Arrived>,
+    pub cancelled: Receiver<String>,
+    server: ServerHandle,
+}
+
+impl Engine {
+    pub async fn start() -> Self {
+        let (arrived_tx, arrived) = unbounded();
+        let (cancelled_tx, cancelled) = unbounded();
+        let listener = smol::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap().to_string();
+        let server = trillium_smol::config()
+            .without_signals()
+            .with_nodelay()
+            .with_prebound_server(listener)
+            .spawn(move |conn: Conn| {
+                let (arrived, cancelled) = (arrived_tx.clone(), cancelled_tx.clone());
+                async move { serve(conn, arrived, cancelled).await }
+            });
+        Self {
+            addr,
+            arrived,
+            cancelled,
+            server,
+        }
+    }
+
+    /// The next request that arrives.
+    pub async fn next(&self) -> Arrived {
+        soon("a request at the upstream", self.arrived.recv())
+            .await
+            .unwrap()
+    }
+
+    /// The next request id that is cancelled.
+    pub async fn next_cancel(&self) -> String {
+        soon("a cancel at the upstream", self.cancelled.recv())
+            .await
+            .unwrap()
+    }
+
+    /// Whether no request arrives within a short time.
+    pub async fn is_quiet(&self) -> bool {
+        smol::Timer::after(Duration::from_millis(100)).await;
+        self.arrived.is_empty()
+    }
+
+    /// Stops to listen and breaks all connections that are not answering.
+    pub async fn stop(&self) {
+        soon("the end of the fake engine", async {
+            self.server.shut_down().await;
+        })
+        .await;
+    }
+}
+
+impl Arrived {
+    pub fn resume_from(&self) -> u32 {
+        self.body["resume_from"].as_u64().unwrap() as u32
+    }
+
+    /// Begins a streamed answer.
+    pub fn begin(&mut self) -> &mut Self {
+        self.next_index = self.body["resume_from"].as_u64().unwrap_or(0) as u32;
+        self.head(200, None);
+        self
+    }
+
+    /// Sends the head of an answer with a stated length, if any.
+    pub fn head(&mut self, status: u16, length: Option<u64>) -> &mut Self {
+        let (sender, parts) = unbounded();
+        self.parts = sender;
+        let head = Head {
+            status,
+            request_id: self.answer_id.clone(),
+            length,
+            parts,
+        };
+        self.head.try_send(head).ok();
+        self
+    }
+
+    pub fn token(&mut self) -> &mut Self {
+        let event = token_event(&self.answer_id, self.next_index);
+        self.next_index += 1;
+        self.bytes(event)
+    }
+
+    pub fn tokens(&mut self, count: u32) -> &mut Self {
+        for _ in 0..count {
+            self.token();
+        }
+        self
+    }
+
+    /// Skips a token.
+    pub fn skip(&mut self) -> &mut Self {
+        self.next_index += 1;
+        self
+    }
+
+    pub fn usage(&mut self) -> &mut Self {
+        let event = usage_event(&self.answer_id, self.next_index);
+        self.bytes(event)
+    }
+
+    pub fn done(&mut self) -> &mut Self {
+        self.bytes("data: [DONE]\n\n".into())
+    }
+
+    pub fn bytes(&mut self, text: String) -> &mut Self {
+        self.parts.try_send(Part::Bytes(text.into_bytes())).ok();
+        self
+    }
+
+    /// Ends the answer and lets the connection go on.
+    pub fn end(&mut self) {
+        self.parts.close();
+    }
+
+    /// Breaks the connection.
+    pub fn cut(&mut self) {
+        self.parts.try_send(Part::Cut).ok();
+    }
+
+    /// Answers whole with some tokens.
+    pub fn answer(&mut self, tokens: u32) {
+        self.begin().tokens(tokens).usage().done().end();
+    }
+
+    /// Waits until the other side has closed the connection of this answer.
+    pub async fn closed(&mut self) {
+        soon("the upstream connection to be closed", async {
+            while !self.parts.is_closed() {
+                self.token();
+                smol::Timer::after(Duration::from_millis(2)).await;
+            }
+        })
+        .await;
+    }
+}
+
+pub fn token_event(id: &str, index: u32) -> String {
+    let choices =
+        json!([{"index": 0, "delta": {"content": format!("w{index} ")}, "finish_reason": null}]);
+    let event = json!({"id": id, "object": "chat.completion.chunk", "model": "m", "token_index": index, "choices": choices});
+    format!("data: {event}\n\n")
+}
+
+pub fn usage_event(id: &str, count: u32) -> String {
+    let choices = json!([{"index": 0, "delta": {}, "finish_reason": "stop"}]);
+    let usage = json!({"prompt_tokens": 3, "completion_tokens": count, "total_tokens": count + 3});
+    let event = json!({"id": id, "object": "chat.completion.chunk", "model": "m", "choices": choices, "usage": usage});
+    format!("data: {event}\n\n")
+}
+
+async fn serve(mut conn: Conn, arrived: Sender<Arrived>, cancelled: Sender<String>) -> Conn {
+    let text = conn.request_body().read_string().await.unwrap_or_default();
+    let body: Value = serde_json::from_str(&text).unwrap_or(Value::Null);
+    let header = |name: &'static str| conn.request_headers().get_str(name).map(str::to_string);
+    let request_id = header("x-request-id").unwrap_or_default();
+    let idempotency_key = header("idempotency-key");
+    if conn.method() == Method::Post && conn.path() == "/cancel" {
+        let id = body["request_id"].as_str().unwrap_or_default().to_string();
+        cancelled.send(id).await.ok();
+        return conn
+            .ok("{}")
+            .with_response_header("x-request-id", request_id);
+    }
+    let (head_tx, head) = unbounded();
+    let (parts, _) = unbounded();
+    let one = Arrived {
+        method: conn.method().to_string(),
+        path: conn.path().to_string(),
+        answer_id: request_id.clone(),
+        connection: conn.peer_ip().map(|ip| ip.to_string()).unwrap_or_default(),
+        request_id,
+        idempotency_key,
+        body,
+        head: head_tx,
+        parts,
+        next_index: 0,
+    };
+    arrived.send(one).await.ok();
+    let received: Result<Head, _> = head.recv().await;
+    let Ok(head) = received else {
+        return conn.with_status(Status::ServiceUnavailable).halt();
+    };
+    conn.with_status(head.status)
+        .with_response_header("x-request-id", head.request_id)
+        .with_response_header("content-type", "text/event-stream")
+        .with_body(Body::new_streaming(
+            PartReader {
+                parts: Box::pin(head.parts),
+                waiting: VecDeque::new(),
+            },
+            head.length,
+        ))
+        .halt()
+}
+
+struct PartReader {
+    parts: Pin<Box<Receiver<Part>>>,
+    waiting: VecDeque<u8>,
+}
+
+impl AsyncRead for PartReader {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        target: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.waiting.is_empty() {
+            match ready!(self.parts.as_mut().poll_next(cx)) {
+                Some(Part::Bytes(bytes)) => self.waiting.extend(bytes),
+                Some(Part::Cut) => {
+                    return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+                }
+                None => return Poll::Ready(Ok(0)),
+            }
+        }
+        let count = self.waiting.len().min(target.len());
+        for (slot, byte) in target.iter_mut().zip(self.waiting.drain(..count)) {
+            *slot = byte;
+        }
+        Poll::Ready(Ok(count))
+    }
+}
--- a/crates/rpc/src/dispatch.rs
+++ b/crates/rpc/src/dispatch.rs
@@ -12,6 +12,9 @@
 pub const DISPATCH_HEADER: &str = "limpetgw-dispatch";
 /// Header with the JSON of [`DispatchReply`].
 pub const REPLY_HEADER: &str = "limpetgw-reply";
+/// Header of an agent's answer with the HTTP status of a plain service, whose
+/// answer is always passed on with status 200.
+pub const UPSTREAM_STATUS_HEADER: &str = "limpetgw-upstream-status";
 /// Header with the peer secret.
 pub const PEER_HEADER: &str = "limpetgw-peer";
 
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -13,7 +13,7 @@
 pub use client::{CallError, Client};
 pub use dispatch::{
     DispatchMeta, DispatchReply, Target, DISPATCH_HEADER, DISPATCH_PATH, PEER_HEADER, REPLY_HEADER,
-    RPC_PATH,
+    RPC_PATH, UPSTREAM_STATUS_HEADER,
 };
 pub use secret::PeerSecrets;
 pub use server::{is_from_peer, refuse_stranger, MethodError, Methods};
