Entry: streamed and whole chat completions end to end

The thin version of the entry role: two listeners, the filters from identify to admit, the attempts over the instances of an upstream, and the relay that hands on whole events of contiguous tokens only.

Dropping the HTTP client's connection as it is would read an abandoned answer on to its end in the background (seen in its source: a kept connection is drained before reuse), so an unfinished answer is turned into an upgrade and closed; the request is cancelled at its agent as well.

--- /dev/null
+++ b/crates/entry/src/answer/stream.rs
@@ -0,0 +1,65 @@
+//! The body of a streamed answer.
+
+use std::{
+    io,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use futures_lite::AsyncRead;
+
+use super::relay::Relay;
+
+/// Relays events to the caller.
+///
+/// # Invariants
+///
+/// The body only ends cleanly after a whole answer. Otherwise its last event
+/// tells the error, and then the body breaks off.
+pub(crate) struct StreamBody {
+    relay: Relay,
+    error_event: Option<Vec<u8>>,
+    told: usize,
+}
+
+impl StreamBody {
+    pub(crate) fn new(relay: Relay) -> Self {
+        Self {
+            relay,
+            error_event: None,
+            told: 0,
+        }
+    }
+
+    fn poll_error_event(&mut self, buf: &mut [u8]) -> Option<Poll<io::Result<usize>>> {
+        let event = self.error_event.as_ref()?;
+        let rest = &event[self.told..];
+        if rest.is_empty() {
+            return Some(Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into())));
+        }
+        let count = rest.len().min(buf.len());
+        buf[..count].copy_from_slice(&rest[..count]);
+        self.told += count;
+        Some(Poll::Ready(Ok(count)))
+    }
+}
+
+impl AsyncRead for StreamBody {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        if let Some(told) = self.poll_error_event(buf) {
+            return told;
+        }
+        match self.relay.poll_events(cx, buf) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Ok(count)) => Poll::Ready(Ok(count)),
+            Poll::Ready(Err(failure)) => {
+                self.error_event = Some(failure.event(self.relay.request_id()));
+                self.poll_read(cx, buf)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/answer/whole.rs
@@ -0,0 +1,111 @@
+//! Assembles a whole JSON answer from an engine's event stream.
+
+use std::future::poll_fn;
+
+use serde::Deserialize;
+use serde_json::{json, Value};
+use types::{ErrorCode, Verdict};
+
+use super::relay::Relay;
+use crate::failure::Failure;
+
+/// Largest answer that is assembled, in bytes of its event stream.
+const ANSWER_MAX_BYTES: usize = 32 << 20;
+/// Bytes read at once.
+const READ_BYTES: usize = 16 << 10;
+
+#[derive(Deserialize)]
+struct Event {
+    #[serde(default)]
+    model: Option<String>,
+    #[serde(default)]
+    choices: Vec<EventChoice>,
+    #[serde(default)]
+    usage: Option<Value>,
+}
+
+#[derive(Deserialize)]
+struct EventChoice {
+    #[serde(default)]
+    delta: Delta,
+    #[serde(default)]
+    finish_reason: Option<String>,
+}
+
+#[derive(Default, Deserialize)]
+struct Delta {
+    #[serde(default)]
+    content: Option<String>,
+}
+
+/// Reads the whole answer and gives it the form that callers without
+/// streaming expect.
+///
+/// # Errors
+///
+/// The relay's failure, or `upstream_failed` when the events don't add up to
+/// a whole answer.
+pub(crate) async fn read_whole(mut relay: Relay) -> Result<Value, Failure> {
+    let mut events = Vec::new();
+    let mut buf = vec![0; READ_BYTES];
+    loop {
+        let count = poll_fn(|cx| relay.poll_events(cx, &mut buf)).await?;
+        if count == 0 {
+            break;
+        }
+        events.extend_from_slice(&buf[..count]);
+        if events.len() > ANSWER_MAX_BYTES {
+            return Err(unreadable("it is too large to assemble; ask for a stream"));
+        }
+    }
+    assemble(&relay, &events)
+}
+
+fn assemble(relay: &Relay, events: &[u8]) -> Result<Value, Failure> {
+    let text = std::str::from_utf8(events).map_err(|_| unreadable("it is no text"))?;
+    let mut content = String::with_capacity(text.len() / 16);
+    let mut model = None;
+    let mut finish_reason = None;
+    let mut usage = Value::Null;
+    for data in text
+        .split("\n\n")
+        .filter_map(|one| one.strip_prefix("data: "))
+    {
+        if data == "[DONE]" {
+            break;
+        }
+        let event: Event =
+            serde_json::from_str(data).map_err(|_| unreadable("an event is no JSON"))?;
+        model = event.model.or(model);
+        usage = event.usage.unwrap_or(usage);
+        for choice in event.choices {
+            content.push_str(choice.delta.content.as_deref().unwrap_or_default());
+            finish_reason = choice.finish_reason.or(finish_reason);
+        }
+    }
+    let counted = usage.get("completion_tokens").and_then(Value::as_u64);
+    if counted.is_some_and(|tokens| tokens != u64::from(relay.tokens())) {
+        return Err(unreadable(
+            "its length differs from what the upstream counted",
+        ));
+    }
+    Ok(json!({
+        "id": relay.request_id(),
+        "object": "chat.completion",
+        "model": model,
+        "choices": [{
+            "index": 0,
+            "message": {"role": "assistant", "content": content},
+            "finish_reason": finish_reason,
+        }],
+        "usage": usage,
+    }))
+}
+
+fn unreadable(reason: &str) -> Failure {
+    Failure::new(
+        ErrorCode::UpstreamFailed,
+        Verdict::Ran,
+        format!("the upstream's answer can't be delivered: {reason}"),
+    )
+}
--- /dev/null
+++ b/crates/entry/src/app.rs
@@ -0,0 +1,94 @@
+//! What all requests of one entry share.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Instant,
+};
+
+use indexmap::{IndexMap, IndexSet};
+use policy::{admission::Gate, quarantine::SuspectMemory, retry::RetryBudget};
+use shared_state::SharedState;
+use types::{ClassName, RequestId, TimeMs};
+
+use crate::{attempt::Transport, lifecycle::Lifecycle, pools::Pools, Settings};
+
+/// The places of requests in this entry.
+pub(crate) struct Places {
+    in_flight_max: u32,
+    pub(crate) gate: Gate,
+    /// Displaced requests that have not been told yet.
+    pub(crate) displaced: IndexSet<RequestId>,
+}
+
+impl Places {
+    fn new(in_flight_max: u32) -> Self {
+        Self {
+            in_flight_max,
+            gate: Gate::new(in_flight_max),
+            displaced: IndexSet::new(),
+        }
+    }
+
+    /// Applies a changed bound. Requests held under the old one finish
+    /// without being counted.
+    pub(crate) fn resize(&mut self, in_flight_max: u32) {
+        if self.in_flight_max != in_flight_max {
+            *self = Self::new(in_flight_max);
+        }
+    }
+}
+
+/// State of one entry.
+pub(crate) struct App {
+    pub(crate) settings: Settings,
+    pub(crate) shared: Arc<SharedState>,
+    pub(crate) peers: rpc::Client,
+    pub(crate) transport: Transport,
+    pub(crate) pools: Pools,
+    pub(crate) lifecycle: Lifecycle,
+    pub(crate) gate: Mutex<Places>,
+    pub(crate) suspects: Mutex<SuspectMemory>,
+    budgets: Mutex<IndexMap<ClassName, RetryBudget>>,
+    origin: Instant,
+}
+
+impl App {
+    pub(crate) fn new(settings: Settings, parts: crate::Parts) -> Self {
+        let in_flight_max = parts.shared.config().document.limits.entry_in_flight_max;
+        Self {
+            transport: Transport::new(settings.secrets.clone()),
+            pools: Pools::new(&settings),
+            lifecycle: Lifecycle::default(),
+            gate: Mutex::new(Places::new(in_flight_max)),
+            suspects: Mutex::new(SuspectMemory::new()),
+            budgets: Mutex::new(IndexMap::new()),
+            origin: Instant::now(),
+            shared: parts.shared,
+            peers: parts.peers,
+            settings,
+        }
+    }
+
+    /// Time now, on the process's own monotonic clock.
+    pub(crate) fn now(&self) -> TimeMs {
+        TimeMs(self.origin.elapsed().as_millis() as u64)
+    }
+
+    /// Runs `change` on the retry budget of a class.
+    pub(crate) fn with_budget<T>(
+        &self,
+        class: &ClassName,
+        change: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        let mut budgets = lock(&self.budgets);
+        change(budgets.entry(class.clone()).or_default())
+    }
+}
+
+/// Locks a mutex; a panic elsewhere never leaves the guarded values half
+/// changed, so a poisoned lock is used as it is.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
+}
--- /dev/null
+++ b/crates/entry/src/attempt/recall.rs
@@ -0,0 +1,79 @@
+//! Takes back or cancels a request at the agent that holds it.
+
+use std::{sync::Arc, time::Duration};
+
+use policy::schedule::Recall;
+use rpc::methods::{GetStatus, RecallParams, RecallRequest};
+use types::RequestId;
+
+use crate::app::App;
+
+/// Longest wait for an agent's word on a recall or a probe.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Asks an agent to take a request back, and to cancel it if it has started.
+/// `None` when the agent did not answer.
+pub(crate) async fn recall(app: &App, addr: &str, request_id: &RequestId) -> Option<Recall> {
+    let params = RecallParams {
+        request_id: request_id.clone(),
+        cancel: true,
+    };
+    let generation = app.shared.config().generation;
+    let call = app
+        .peers
+        .call::<RecallRequest>(addr, generation, params, CALL_TIMEOUT);
+    let answered = call.await.ok()?;
+    app.shared.on_peer_generation(addr, answered.generation);
+    Some(answered.answer.recall)
+}
+
+/// Whether an agent answers at all.
+pub(crate) async fn is_alive(app: &App, addr: &str) -> bool {
+    let generation = app.shared.config().generation;
+    let call = app
+        .peers
+        .call::<GetStatus>(addr, generation, (), CALL_TIMEOUT);
+    call.await.is_ok()
+}
+
+/// Cancels a request at its agent unless disarmed: the caller is gone, or
+/// another attempt has taken over.
+pub(crate) struct CancelGuard {
+    app: Arc<App>,
+    addr: Arc<str>,
+    request_id: RequestId,
+    armed: bool,
+}
+
+impl CancelGuard {
+    pub(crate) fn new(app: Arc<App>, addr: Arc<str>, request_id: RequestId) -> Self {
+        Self {
+            app,
+            addr,
+            request_id,
+            armed: true,
+        }
+    }
+
+    /// Notes that the agent no longer holds the request.
+    pub(crate) fn disarm(&mut self) {
+        self.armed = false;
+    }
+}
+
+impl Drop for CancelGuard {
+    fn drop(&mut self) {
+        if !self.armed {
+            return;
+        }
+        let app = self.app.clone();
+        let addr = self.addr.clone();
+        let request_id = self.request_id.clone();
+        async_global_executor::spawn(async move {
+            // The closed connection cancels too; an agent that does not
+            // answer finds out from it.
+            let _ = recall(&app, &addr, &request_id).await;
+        })
+        .detach();
+    }
+}
--- /dev/null
+++ b/crates/entry/src/attempt/transport.rs
@@ -0,0 +1,104 @@
+//! Sends one dispatch to an agent and tells what came back.
+
+use std::sync::Arc;
+
+use rpc::{DispatchMeta, DispatchReply, PeerSecrets, DISPATCH_HEADER, DISPATCH_PATH, PEER_HEADER};
+use trillium_client::{Client, Conn};
+use types::{ErrorBody, ErrorCode, Verdict};
+
+use super::connector::{ConnectFailed, MarkingConnector};
+use crate::failure::Failure;
+
+/// Largest error body read from an agent, in bytes.
+const ERROR_BODY_MAX_BYTES: u64 = 64 << 10;
+
+/// What an agent said beside the answer itself, and the answer's head.
+pub(crate) struct Head {
+    /// The agent's own words, if its header was readable.
+    pub(crate) reply: Option<DispatchReply>,
+    /// The open answer, or why there is none.
+    pub(crate) answer: Result<Conn, Failure>,
+}
+
+/// Sends dispatches over kept connections.
+pub(crate) struct Transport {
+    http: Client,
+    secrets: Arc<PeerSecrets>,
+}
+
+impl Transport {
+    pub(crate) fn new(secrets: Arc<PeerSecrets>) -> Self {
+        Self {
+            http: Client::new(MarkingConnector::new()),
+            secrets,
+        }
+    }
+
+    /// Sends a dispatch and waits for the head of the answer.
+    pub(crate) async fn dispatch(&self, addr: &str, meta: &DispatchMeta, body: Arc<[u8]>) -> Head {
+        // Dispatch metadata is names and numbers: serialization can't fail.
+        let meta = serde_json::to_string(meta).unwrap_or_default();
+        let conn = self
+            .http
+            .post(format!("http://{addr}{DISPATCH_PATH}"))
+            .with_request_header(PEER_HEADER, self.secrets.current().to_string())
+            .with_request_header(DISPATCH_HEADER, meta)
+            .with_body(body);
+        let mut conn = match conn.await {
+            Ok(conn) => conn,
+            Err(error) => {
+                return Head {
+                    reply: None,
+                    answer: Err(transport_failure(&error)),
+                }
+            }
+        };
+        let reply = conn
+            .response_headers()
+            .get_str(rpc::REPLY_HEADER)
+            .and_then(|text| serde_json::from_str(text).ok());
+        if conn.status().is_some_and(|status| status as u16 == 200) {
+            return Head {
+                reply,
+                answer: Ok(conn),
+            };
+        }
+        Head {
+            reply,
+            answer: Err(read_refusal(&mut conn).await),
+        }
+    }
+}
+
+/// The agent's refusal. Without a readable body nothing is proved.
+async fn read_refusal(conn: &mut Conn) -> Failure {
+    let body = conn.response_body().with_max_len(ERROR_BODY_MAX_BYTES);
+    let text = body.read_bytes().await.unwrap_or_default();
+    match serde_json::from_slice::<ErrorBody>(&text) {
+        Ok(body) => Failure {
+            code: body.error.code,
+            verdict: body.error.verdict,
+            message: body.error.message,
+            retry_after_ms: body.error.retry_after_ms,
+        },
+        Err(_) => Failure::new(
+            ErrorCode::UpstreamFailed,
+            Verdict::MayHaveRun,
+            "the upstream's agent answered with an unreadable error",
+        ),
+    }
+}
+
+fn transport_failure(error: &trillium_http::Error) -> Failure {
+    if ConnectFailed::caused(error) {
+        return Failure::not_run(
+            ErrorCode::NoUpstream,
+            "the upstream instance could not be reached; try again",
+        );
+    }
+    Failure::new(
+        ErrorCode::UpstreamFailed,
+        Verdict::MayHaveRun,
+        "the connection to the upstream's agent broke before an answer",
+    )
+}
--- /dev/null
+++ b/crates/entry/src/chat.rs
@@ -0,0 +1,165 @@
+//! `POST /v1/chat/completions`.
+
+use std::sync::Arc;
+
+use rpc::Target;
+use telemetry::{emit, events::EntryEvent};
+use trillium::{Body, Conn, Status};
+use types::{ErrorCode, Fingerprint, ModelName, RequestId};
+
+use crate::{
+    answer::{read_whole, Relay, StreamBody},
+    app::App,
+    attempt::Session,
+    failure::{Failure, REQUEST_ID_HEADER},
+    filters::{
+        admit::{admit, Place},
+        chat_body,
+        classify::classify,
+        head::check_head,
+        identify::identify,
+        quarantine::check_quarantine,
+        read_body::read_body,
+    },
+    lifecycle::InFlight,
+    request::Request,
+};
+
+/// What the filters made of a caller's request.
+struct Filtered {
+    request: Request,
+    stream: bool,
+    place: Place,
+}
+
+/// Serves one chat completion.
+pub(crate) async fn serve(
+    app: Arc<App>,
+    mut conn: Conn,
+    request_id: RequestId,
+    in_flight: InFlight,
+) -> Conn {
+    let filtered = match filter(&app, &mut conn, &request_id).await {
+        Ok(filtered) => filtered,
+        Err(failure) => return refuse(conn, &request_id, &failure),
+    };
+    let Filtered {
+        request,
+        stream,
+        place,
+    } = filtered;
+    let mut session = Session::new(app, request, place, in_flight);
+    let opened = async move {
+        match session.open(0).await {
+            Ok(answer) => Ok(Relay::new(session, answer)),
+            Err(failure) => {
+                session.log_failed(&failure);
+                Err(failure)
+            }
+        }
+    };
+    if stream {
+        let opened = conn.cancel_on_disconnect(opened).await;
+        return respond_stream(conn, &request_id, opened);
+    }
+    let whole = async move { read_whole(opened.await?).await };
+    match conn.cancel_on_disconnect(whole).await {
+        Some(Ok(answer)) => respond_json(conn, &request_id, answer.to_string()),
+        Some(Err(failure)) => failure.respond(conn, &request_id),
+        None => conn.halt(),
+    }
+}
+
+/// Passes the request through the filters, up to admission.
+async fn filter(
+    app: &Arc<App>,
+    conn: &mut Conn,
+    request_id: &RequestId,
+) -> Result<Filtered, Failure> {
+    let received_at = app.now();
+    check_head(conn)?;
+    let config = app.shared.config();
+    let team = identify(conn, &config)?;
+    let classed = classify(conn, &config, &team)?;
+    let limits = &config.document.limits;
+    let body = read_body(conn, limits.body_max_bytes, app.settings.request_timeout).await?;
+    let chat = chat_body::parse(&body)
+        .map_err(|reason| Failure::not_run(ErrorCode::MalformedRequest, reason))?;
+    let upstream = config
+        .upstream_of_model(&chat.model)
+        .and_then(|name| config.document.upstreams.get_key_value(name));
+    let Some((upstream_name, upstream)) = upstream else {
+        return Err(Failure::not_run(
+            ErrorCode::UnknownModel,
+            "no upstream serves this model; `GET /v1/models` lists those that are served",
+        ));
+    };
+    emit(&EntryEvent::RequestClassified {
+        request_id: request_id.clone(),
+        team: team.clone(),
+        class: classed.class.clone(),
+    });
+    let fingerprint = Fingerprint::of(&chat.model, &body);
+    let suspect = check_quarantine(app, fingerprint)?;
+    let place = admit(app, &classed)?;
+    let request = Request {
+        request_id: request_id.clone(),
+        team,
+        class: classed.class,
+        upstream: upstream_name.clone(),
+        target: Target::Completion {
+            model: ModelName::from(chat.model),
+        },
+        body,
+        fingerprint,
+        suspect,
+        idempotent: upstream.idempotent,
+        prompt_tokens: chat.prompt_tokens,
+        max_tokens: chat.max_tokens,
+        prefix_hash: chat.prefix_hash,
+        received_at,
+        deadline: received_at + classed.deadline.as_millis() as u64,
+    };
+    Ok(Filtered {
+        request,
+        stream: chat.stream,
+        place,
+    })
+}
+
+/// Answers and logs a request that did not pass the filters.
+pub(crate) fn refuse(conn: Conn, request_id: &RequestId, failure: &Failure) -> Conn {
+    emit(&EntryEvent::RequestRefused {
+        request_id: request_id.clone(),
+        code: failure.code,
+        retry_after_ms: failure.retry_after_ms.unwrap_or_default(),
+    });
+    failure.respond(conn, request_id)
+}
+
+fn respond_stream(
+    conn: Conn,
+    request_id: &RequestId,
+    opened: Option<Result<Relay, Failure>>,
+) -> Conn {
+    match opened {
+        Some(Ok(relay)) => conn
+            .with_status(Status::Ok)
+            .with_response_header("content-type", "text/event-stream")
+            .with_response_header("cache-control", "no-store")
+            .with_response_header(REQUEST_ID_HEADER, request_id.as_str().to_owned())
+            .with_body(Body::new_streaming(StreamBody::new(relay), None))
+            .halt(),
+        Some(Err(failure)) => failure.respond(conn, request_id),
+        None => conn.halt(),
+    }
+}
+
+/// Answers 200 with a JSON text.
+pub(crate) fn respond_json(conn: Conn, request_id: &RequestId, json: String) -> Conn {
+    conn.with_status(Status::Ok)
+        .with_response_header("content-type", "application/json")
+        .with_response_header(REQUEST_ID_HEADER, request_id.as_str().to_owned())
+        .with_body(json)
+        .halt()
+}
--- /dev/null
+++ b/crates/entry/src/failure.rs
@@ -0,0 +1,83 @@
+//! What a caller is told when there is no whole answer.
+
+use trillium::{Conn, Status};
+use types::{ErrorBody, ErrorCode, RequestId, Verdict};
+
+/// Header that carries the request id to and from callers.
+pub(crate) const REQUEST_ID_HEADER: &str = "x-request-id";
+
+/// Why a request has no whole answer, and whether it may have run.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{code:?} ({verdict:?}): {message}")]
+pub(crate) struct Failure {
+    pub(crate) code: ErrorCode,
+    pub(crate) verdict: Verdict,
+    pub(crate) message: String,
+    /// Jittered time after which another try makes sense, in milliseconds.
+    pub(crate) retry_after_ms: Option<u64>,
+}
+
+impl Failure {
+    pub(crate) fn new(code: ErrorCode, verdict: Verdict, message: impl Into<String>) -> Self {
+        Self {
+            code,
+            verdict,
+            message: message.into(),
+            retry_after_ms: None,
+        }
+    }
+
+    /// A failure before anything was sent.
+    pub(crate) fn not_run(code: ErrorCode, message: impl Into<String>) -> Self {
+        Self::new(code, Verdict::NotRun, message)
+    }
+
+    /// Adds a jittered retry time around an expected wait, in milliseconds.
+    pub(crate) fn retry_after(mut self, expected_wait_ms: u64) -> Self {
+        let random = rand::random();
+        self.retry_after_ms = Some(policy::retry::retry_after_ms(expected_wait_ms, random));
+        self
+    }
+
+    /// The JSON body for the caller.
+    pub(crate) fn body(&self, request_id: &RequestId) -> ErrorBody {
+        let mut body = ErrorBody::new(self.code, self.verdict, self.message.clone());
+        body.error.request_id = Some(request_id.clone());
+        body.error.retry_after_ms = self.retry_after_ms;
+        body
+    }
+
+    /// The last event of a stream that can't be completed.
+    pub(crate) fn event(&self, request_id: &RequestId) -> Vec<u8> {
+        // An error body is names and numbers: serialization can't fail.
+        let json = serde_json::to_string(&self.body(request_id)).unwrap_or_default();
+        format!("data: {json}\n\n").into_bytes()
+    }
+
+    /// Answers the caller.
+    pub(crate) fn respond(&self, conn: Conn, request_id: &RequestId) -> Conn {
+        let json = serde_json::to_string(&self.body(request_id)).unwrap_or_default();
+        let status = Status::try_from(self.code.http_status()).unwrap_or(Status::BadGateway);
+        let mut conn = conn
+            .with_status(status)
+            .with_response_header("content-type", "application/json")
+            .with_response_header(REQUEST_ID_HEADER, request_id.as_str().to_owned())
+            .with_body(json);
+        if let Some(retry_after_ms) = self.retry_after_ms {
+            let seconds = retry_after_ms.div_ceil(1_000);
+            conn.insert_response_header("retry-after", seconds.to_string());
+        }
+        if self.leaves_body_unread() {
+            conn.insert_response_header("connection", "close");
+        }
+        conn.halt()
+    }
+
+    /// Whether the rest of the caller's request is still on the connection.
+    fn leaves_body_unread(&self) -> bool {
+        matches!(
+            self.code,
+            ErrorCode::BodyTooLarge | ErrorCode::RequestTimeout | ErrorCode::HeadersTooLarge
+        )
+    }
+}
--- /dev/null
+++ b/crates/entry/src/filters/classify.rs
@@ -0,0 +1,45 @@
+//! Classify: which of its team's classes a request belongs to.
+
+use std::time::Duration;
+
+use config::Snapshot;
+use trillium::Conn;
+use types::{ErrorCode, Priority, TeamName};
+
+use crate::{failure::Failure, request::Classed};
+
+/// Header by which a caller asks for one of its team's classes.
+const CLASS_HEADER: &str = "limpetgw-class";
+
+/// Finds the class: the one asked for, or the team's first.
+///
+/// # Errors
+///
+/// `class_not_allowed` if the team is not bound to the class.
+pub(crate) fn classify(
+    conn: &Conn,
+    config: &Snapshot,
+    team_name: &TeamName,
+) -> Result<Classed, Failure> {
+    let bound = config
+        .document
+        .teams
+        .get(team_name)
+        .map_or(&[][..], |team| team.classes.as_slice());
+    let name = match conn.request_headers().get_str(CLASS_HEADER) {
+        Some(wanted) => bound.iter().find(|class| class.as_str() == wanted),
+        None => bound.first(),
+    };
+    let known = name.and_then(|name| config.document.classes.get_key_value(name));
+    let Some((name, class)) = known else {
+        return Err(Failure::not_run(
+            ErrorCode::ClassNotAllowed,
+            "your team is not bound to this class; leave out `limpetgw-class` or name one of your team's classes",
+        ));
+    };
+    Ok(Classed {
+        class: name.clone(),
+        priority: Priority(class.priority),
+        deadline: Duration::from_millis(class.deadline_ms),
+    })
+}
--- /dev/null
+++ b/crates/entry/src/filters/mod.rs
@@ -0,0 +1,11 @@
+//! The filters that a request passes before it is dispatched, one module each.
+
+pub mod chat_body;
+pub mod request_id;
+
+pub(crate) mod admit;
+pub(crate) mod classify;
+pub(crate) mod head;
+pub(crate) mod identify;
+pub(crate) mod quarantine;
+pub(crate) mod read_body;
--- /dev/null
+++ b/crates/entry/src/filters/read_body.rs
@@ -0,0 +1,59 @@
+//! Read body: the caller's whole request, within bounds of size and time.
+
+use std::{sync::Arc, time::Duration};
+
+use futures_lite::FutureExt;
+use trillium::Conn;
+use types::ErrorCode;
+
+use crate::failure::Failure;
+
+/// Reads the request body.
+///
+/// # Errors
+///
+/// `body_too_large` beyond `body_max_bytes`, `request_timeout` if the caller
+/// takes longer than `timeout`, `malformed_request` for a broken transfer.
+pub(crate) async fn read_body(
+    conn: &mut Conn,
+    body_max_bytes: u64,
+    timeout: Duration,
+) -> Result<Arc<[u8]>, Failure> {
+    let body = conn.request_body().with_max_len(body_max_bytes);
+    if body
+        .content_length()
+        .is_some_and(|len| len > body_max_bytes)
+    {
+        return Err(too_large(body_max_bytes));
+    }
+    let read = async {
+        body.read_bytes()
+            .await
+            .map_err(|error| broken(&error, body_max_bytes))
+    };
+    let late = async {
+        smol::Timer::after(timeout).await;
+        Err(Failure::not_run(
+            ErrorCode::RequestTimeout,
+            format!("send the whole request within {} ms", timeout.as_millis()),
+        ))
+    };
+    read.or(late).await.map(Arc::from)
+}
+
+fn broken(error: &trillium_http::Error, body_max_bytes: u64) -> Failure {
+    match error {
+        trillium_http::Error::ReceivedBodyTooLong(_) => too_large(body_max_bytes),
+        _ => Failure::not_run(
+            ErrorCode::MalformedRequest,
+            "the request body broke off or is not framed as HTTP asks for",
+        ),
+    }
+}
+
+fn too_large(body_max_bytes: u64) -> Failure {
+    Failure::not_run(
+        ErrorCode::BodyTooLarge,
+        format!("send at most {body_max_bytes} bytes"),
+    )
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,13 +1,34 @@
 //! The entry role: takes in callers, chooses an upstream instance for each
 //! request and relays the answer.
 //!
-//! A request passes a fixed row of filters: identify, classify, check
-//! quarantine, claim, admit, choose, dispatch, relay, settle.
+//! A request passes a fixed row of filters: identify, classify, read body,
+//! check quarantine, admit, claim, choose, dispatch, relay, settle.
 
+mod answer;
+mod app;
+mod attempt;
+mod chat;
+mod failure;
+mod filters;
+mod lifecycle;
+mod models;
+mod operator;
+mod pools;
+mod request;
+mod routes;
+mod server;
+mod services;
 mod settings;
 
+pub use answer::sse::{EventError, EventSplitter};
+pub use filters::{chat_body, request_id};
+pub use server::{serve, DrainHandle, Parts, Running};
 pub use settings::Settings;
 
+use std::sync::Arc;
+
+use shared_state::SharedState;
+
 /// The entry could not run.
 #[derive(Debug, thiserror::Error)]
 pub enum RunError {
@@ -19,6 +40,9 @@
         /// The system's word.
         reason: String,
     },
+    /// The stop signal could not be watched.
+    #[error("can't watch for SIGTERM: {0}")]
+    Signal(std::io::Error),
 }
 
 /// Runs an entry until it has drained after SIGTERM or an operator's drain.
@@ -26,6 +50,26 @@
 /// # Errors
 ///
 /// [`RunError`] when it can't start.
-pub async fn run(_settings: Settings) -> Result<(), RunError> {
+pub async fn run(settings: Settings) -> Result<(), RunError> {
+    let peers = rpc::Client::new(settings.instance.clone(), settings.secrets.clone());
+    let store = Arc::new(settings.platform.clone());
+    let shared = SharedState::start(
+        shared_state::Settings::builder()
+            .instance(settings.instance.clone())
+            .store(store.clone())
+            .instances(store.clone())
+            .peers(peers.clone())
+            .seeds(settings.seeds.clone())
+            .build(),
+    );
+    let parts = Parts {
+        shared,
+        store,
+        peers,
+    };
+    let running = serve(settings, parts).await?;
+    lifecycle::drain_at_signal(&running)?;
+    running.print_listening();
+    running.finished().await;
     Ok(())
 }
--- /dev/null
+++ b/crates/entry/src/operator.rs
@@ -0,0 +1,89 @@
+//! The operator's listener: health, metrics and calls of other processes.
+
+use std::sync::Arc;
+
+use rpc::{
+    methods::{Answered, Drain, ExchangeEvidence, GetConfig, GetStatus, Status},
+    Methods,
+};
+use trillium::{Conn, Handler};
+use trillium_router::Router;
+use types::Generation;
+
+use crate::{
+    app::{lock, App},
+    routes,
+    server::DrainHandle,
+};
+
+/// State of the RPC methods.
+struct Served {
+    app: Arc<App>,
+    drain: DrainHandle,
+}
+
+/// The handler of the operator's listener.
+pub(crate) fn handler(app: Arc<App>, drain: DrainHandle) -> impl Handler {
+    let secrets = app.settings.secrets.clone();
+    let ready_app = app.clone();
+    let methods = Methods::new(Served { app, drain })
+        .with::<GetStatus, _, _>(|call, served| async move {
+            served.note(call.generation);
+            Ok(served.answered(served.status()))
+        })
+        .with::<ExchangeEvidence, _, _>(|call, served| async move {
+            let now = served.app.now();
+            let mut suspects = lock(&served.app.suspects);
+            suspects.merge(now, &call.params);
+            let known = suspects.export(now);
+            drop(suspects);
+            Ok(served.answered(known))
+        })
+        .with::<GetConfig, _, _>(|_call, served| async move { Ok(served.answered(None)) })
+        .with::<Drain, _, _>(|_call, served| async move {
+            served.drain.drain();
+            Ok(served.answered(()))
+        });
+    Router::new()
+        .get("/healthz", |conn: Conn| async move { conn.ok("ok\n") })
+        .get("/readyz", move |conn: Conn| {
+            let app = ready_app.clone();
+            async move { routes::ready(&app, conn) }
+        })
+        .get("/metrics", |conn: Conn| async move {
+            conn.ok(telemetry::render_metrics())
+        })
+        .post(rpc::RPC_PATH, methods.into_handler(secrets))
+}
+
+impl Served {
+    fn note(&self, _generation: Generation) {}
+
+    fn answered<A>(&self, answer: A) -> Answered<A> {
+        Answered {
+            sender: self.app.settings.instance.clone(),
+            generation: self.app.shared.config().generation,
+            answer,
+        }
+    }
+
+    fn status(&self) -> Status {
+        let app = &self.app;
+        let view = app.pools.at(&app.shared.membership());
+        let upstreams = view
+            .pools()
+            .flat_map(|pool| pool.candidates())
+            .map(|one| (one.member.instance.clone(), one.in_flight()))
+            .collect();
+        Status {
+            instance: app.settings.instance.clone(),
+            role: "entry".into(),
+            generation: app.shared.config().generation,
+            draining: app.lifecycle.is_draining(),
+            in_flight: app.lifecycle.in_flight(),
+            load: None,
+            upstreams,
+            membership_age_ms: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/routes.rs
@@ -0,0 +1,74 @@
+//! The callers' listener: which path goes where.
+
+use std::sync::Arc;
+
+use trillium::{Conn, Method, Status};
+use types::{ErrorCode, RequestId};
+
+use crate::{
+    app::App,
+    chat::{self, refuse},
+    failure::Failure,
+    filters::request_id,
+    lifecycle::InFlight,
+    models,
+    services::{self, SERVICES_PREFIX},
+};
+
+/// Expected wait told to callers of a draining entry, in milliseconds. The
+/// balancer sends the next try elsewhere.
+const DRAINING_WAIT_MS: u64 = 200;
+
+/// Serves one request of a caller.
+pub(crate) async fn serve(app: Arc<App>, conn: Conn) -> Conn {
+    match conn.path() {
+        "/healthz" => return conn.ok("ok\n").halt(),
+        "/readyz" => return ready(&app, conn),
+        _ => {}
+    }
+    let request_id = request_id::from_header(conn.request_headers().get_str("x-request-id"));
+    let Some(in_flight) = app.lifecycle.enter() else {
+        let failure = Failure::not_run(
+            ErrorCode::Draining,
+            "this entry is stopping; send the request again, the balancer picks another one",
+        );
+        return refuse(conn, &request_id, &failure.retry_after(DRAINING_WAIT_MS));
+    };
+    route(app, conn, request_id, in_flight).await
+}
+
+async fn route(app: Arc<App>, conn: Conn, request_id: RequestId, in_flight: InFlight) -> Conn {
+    match (conn.method(), conn.path()) {
+        (Method::Post, "/v1/chat/completions") => {
+            chat::serve(app, conn, request_id, in_flight).await
+        }
+        (Method::Get, "/v1/models") => models::serve(&app, conn, &request_id),
+        (_, path) if path.starts_with(SERVICES_PREFIX) => {
+            services::serve(app, conn, request_id, in_flight).await
+        }
+        _ => {
+            let failure = Failure::not_run(
+                ErrorCode::UnknownRoute,
+                "there is `POST /v1/chat/completions`, `GET /v1/models` and `/services/NAME/...`",
+            );
+            refuse(conn, &request_id, &failure)
+        }
+    }
+}
+
+/// Answers whether the balancer may send new requests.
+pub(crate) fn ready(app: &App, conn: Conn) -> Conn {
+    if app.lifecycle.is_draining() {
+        return conn
+            .with_status(Status::ServiceUnavailable)
+            .with_body("draining\n")
+            .halt();
+    }
+    if app.shared.config().generation.0 == 0 {
+        return conn
+            .with_status(Status::ServiceUnavailable)
+            .with_body("not configured\n")
+            .halt();
+    }
+    conn.ok("ready\n").halt()
+}
--- /dev/null
+++ b/crates/entry/src/server.rs
@@ -0,0 +1,138 @@
+//! The entry's two listeners.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use platform::ObjectStore;
+use serde_json::json;
+use shared_state::SharedState;
+use telemetry::{emit, events::EntryEvent};
+use trillium::{Conn, Handler, HttpConfig};
+use trillium_server_common::ServerHandle;
+use trillium_smol::async_net::TcpListener;
+
+use crate::{app::App, operator, routes, RunError, Settings};
+
+/// Largest request head that is read at all, in bytes. Heads between the
+/// callers' bound and this one get a clear answer.
+const HEAD_MAX_BYTES: usize = 64 << 10;
+
+/// What an entry works with, beside its settings.
+pub struct Parts {
+    /// Configuration and membership.
+    pub shared: Arc<SharedState>,
+    /// The platform's store, for claims.
+    pub store: Arc<dyn ObjectStore>,
+    /// Calls to agents.
+    pub peers: rpc::Client,
+}
+
+/// A serving entry.
+pub struct Running {
+    app: Arc<App>,
+    callers: ServerHandle,
+    operator: ServerHandle,
+    /// Callers' listener as bound.
+    pub addr: SocketAddr,
+    /// Operator's listener as bound.
+    pub operator_addr: SocketAddr,
+}
+
+/// Starts the graceful shutdown of an entry.
+#[derive(Clone)]
+pub struct DrainHandle {
+    app: Arc<App>,
+}
+
+impl DrainHandle {
+    /// Starts the shutdown; later calls do nothing.
+    pub fn drain(&self) {
+        if self.app.lifecycle.begin_drain() {
+            emit(&EntryEvent::DrainBegun {
+                instance: self.app.settings.instance.clone(),
+                in_flight: self.app.lifecycle.in_flight(),
+                balancer_lag_ms: self.app.settings.balancer_lag.as_millis() as u64,
+            });
+        }
+    }
+}
+
+/// Binds both listeners and serves on them in the background.
+///
+/// # Errors
+///
+/// [`RunError::Listen`] when an address can't be bound.
+pub async fn serve(settings: Settings, parts: Parts) -> Result<Running, RunError> {
+    let (callers_socket, addr) = bind(settings.listen)?;
+    let (operator_socket, operator_addr) = bind(settings.operator_listen)?;
+    let app = Arc::new(App::new(settings, parts));
+    let drain = DrainHandle { app: app.clone() };
+    let callers = spawn(callers_socket, callers_handler(app.clone()));
+    let operator = spawn(operator_socket, operator::handler(app.clone(), drain));
+    emit(&EntryEvent::Listening {
+        instance: app.settings.instance.clone(),
+        addr: addr.to_string(),
+    });
+    Ok(Running {
+        app,
+        callers,
+        operator,
+        addr,
+        operator_addr,
+    })
+}
+
+impl Running {
+    /// A handle that starts the graceful shutdown.
+    pub fn drain_handle(&self) -> DrainHandle {
+        DrainHandle {
+            app: self.app.clone(),
+        }
+    }
+
+    /// Prints the line that tells where the entry listens.
+    pub(crate) fn print_listening(&self) {
+        let listening = json!({"listening": {
+            "role": "entry",
+            "instance": self.app.settings.instance,
+            "addr": self.addr,
+            "operator_addr": self.operator_addr,
+        }});
+        println!("{listening}");
+    }
+
+    /// Returns once a shutdown was started and the last request has ended.
+    pub async fn finished(self) {
+        let lifecycle = &self.app.lifecycle;
+        lifecycle.drain_begun().await;
+        lifecycle.drained(self.app.settings.balancer_lag).await;
+        self.callers.shut_down().await;
+        self.operator.shut_down().await;
+        emit(&EntryEvent::Drained {
+            instance: self.app.settings.instance.clone(),
+        });
+    }
+}
+
+fn bind(addr: SocketAddr) -> Result<(TcpListener, SocketAddr), RunError> {
+    let error = |error: std::io::Error| RunError::Listen {
+        addr: addr.to_string(),
+        reason: error.to_string(),
+    };
+    let socket = std::net::TcpListener::bind(addr).map_err(error)?;
+    let bound = socket.local_addr().map_err(error)?;
+    let socket = TcpListener::try_from(socket).map_err(error)?;
+    Ok((socket, bound))
+}
+
+fn spawn(socket: TcpListener, handler: impl Handler) -> ServerHandle {
+    trillium_smol::config()
+        .with_prebound_server(socket)
+        .without_signals()
+        .with_nodelay()
+        .with_http_config(HttpConfig::default().with_head_max_len(HEAD_MAX_BYTES))
+        .spawn(handler)
+}
+
+fn callers_handler(app: Arc<App>) -> impl Handler {
+    move |conn: Conn| routes::serve(app.clone(), conn)
+}
--- /dev/null
+++ b/crates/entry/tests/chat.rs
@@ -0,0 +1,79 @@
+//! Chat completions from caller to agent and back.
+
+mod support;
+
+use rstest::rstest;
+use support::{agent, answered, bench, indices, run, streamed, FakeAgent};
+
+#[rstest]
+fn a_streamed_answer_arrives_whole() {
+    run(async {
+        let agent = FakeAgent::start("a-1", vec![]).await;
+        let bench = bench(vec![agent.instance("carving")]).await;
+
+        let conn = bench
+            .chat(true)
+            .with_request_header("x-request-id", "req-7");
+        let (status, text, clean) = streamed(conn).await;
+
+        assert_eq!(status, 200);
+        assert!(clean);
+        assert_eq!(indices(&text), (0..8).collect::<Vec<_>>());
+        assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+        let (meta, body) = agent.dispatches().remove(0);
+        assert_eq!(meta.request_id.as_str(), "req-7");
+        assert_eq!(meta.team.as_str(), "fitters");
+        assert_eq!(meta.class.as_str(), "bench");
+        assert_eq!(body, support::chat_body("m", true).into_bytes());
+    });
+}
+
+#[rstest]
+fn a_whole_answer_is_assembled() {
+    run(async {
+        let agent = FakeAgent::start("a-1", vec![]).await;
+        let bench = bench(vec![agent.instance("carving")]).await;
+
+        let (status, answer) = answered(bench.chat(false)).await;
+
+        assert_eq!(status, 200, "{answer}");
+        let content: String = (0..8).map(|index| format!("w{index} ")).collect();
+        assert_eq!(answer["choices"][0]["message"]["content"], content.as_str());
+        assert_eq!(answer["usage"]["completion_tokens"], 8);
+        assert_eq!(answer["choices"][0]["finish_reason"], "stop");
+    });
+}
+
+#[rstest]
+fn an_event_split_at_any_byte_is_whole_for_the_caller() {
+    run(async {
+        let bytes = [agent::token("r", 0), agent::ending("r", 1)].concat();
+        for at in [1, 10, bytes.len() / 2, bytes.len() - 1] {
+            let (first, second) = bytes.split_at(at);
+            let pieces = vec![
+                support::Piece::Bytes(first.to_vec()),
+                support::Piece::WaitMs(5),
+                support::Piece::Bytes(second.to_vec()),
+            ];
+            let agent = FakeAgent::start("a-1", vec![support::Reaction::Answer(pieces)]).await;
+            let bench = bench(vec![agent.instance("carving")]).await;
+
+            let (_, text, clean) = streamed(bench.chat(true)).await;
+
+            assert!(clean);
+            assert_eq!(text.as_bytes(), bytes);
+        }
+    });
+}
+
+#[rstest]
+fn models_are_listed() {
+    run(async {
+        let bench = bench(vec![]).await;
+
+        let (status, list) = answered(bench.get("/v1/models")).await;
+
+        assert_eq!(status, 200);
+        assert_eq!(list["data"][0]["id"], "m");
+    });
+}
--- /dev/null
+++ b/crates/entry/tests/support/agent.rs
@@ -0,0 +1,337 @@
+//! A fake agent that reacts to each dispatch as the test scripted it.
+
+use std::{
+    collections::VecDeque,
+    future::Future,
+    io,
+    pin::Pin,
+    sync::{Arc, Mutex},
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use futures_lite::AsyncRead;
+use policy::schedule::{LoadReport, Recall};
+use rpc::{
+    methods::{Answered, GetStatus, RecallAnswer, RecallRequest, Status as ProcessStatus},
+    DispatchMeta, DispatchReply, Methods, DISPATCH_HEADER, DISPATCH_PATH, REPLY_HEADER,
+};
+use serde_json::json;
+use trillium::{Body, Conn, Status};
+use trillium_router::Router;
+use trillium_server_common::ServerHandle;
+use types::{ErrorBody, ErrorCode, Generation, Verdict};
+
+/// What the fake does with one dispatch.
+#[derive(Clone, Debug)]
+pub enum Reaction {
+    /// Answers 200 with a body in pieces.
+    Answer(Vec<Piece>),
+    /// Refuses with an error body.
+    Refuse(ErrorCode, Verdict),
+    /// Answers with something that is no error body.
+    Garbage,
+    /// Closes the connection without an answer.
+    Hangup,
+    /// Never answers.
+    Silent,
+}
+
+/// A piece of an answer's body.
+#[derive(Clone, Debug)]
+pub enum Piece {
+    Bytes(Vec<u8>),
+    WaitMs(u64),
+    /// Cuts the chunked body before its end.
+    Cut,
+    /// Never goes on.
+    Hang,
+}
+
+#[derive(Default)]
+struct State {
+    reactions: VecDeque<Reaction>,
+    dispatches: Vec<(DispatchMeta, Vec<u8>)>,
+    recalls: Vec<String>,
+    recall: Option<Recall>,
+    leaving: bool,
+    deaf: bool,
+    dropped_bodies: u32,
+}
+
+pub struct FakeAgent {
+    pub name: String,
+    pub addr: String,
+    state: Arc<Mutex<State>>,
+    _server: ServerHandle,
+}
+
+impl FakeAgent {
+    pub async fn start(name: &str, reactions: Vec<Reaction>) -> Self {
+        let state = Arc::new(Mutex::new(State {
+            reactions: reactions.into(),
+            recall: Some(Recall::Recalled),
+            ..State::default()
+        }));
+        let own = name.to_owned();
+        let served = state.clone();
+        let dispatch = move |conn: Conn| {
+            let state = served.clone();
+            let own = own.clone();
+            async move { dispatched(conn, state, &own).await }
+        };
+        let router = Router::new()
+            .post(DISPATCH_PATH, dispatch)
+            .post(rpc::RPC_PATH, methods(state.clone(), name));
+        let server = trillium_smol::config()
+            .with_host("127.0.0.1")
+            .with_port(0)
+            .without_signals()
+            .with_nodelay()
+            .spawn(router);
+        let addr = server.info().await.tcp_socket_addr().unwrap().to_string();
+        Self {
+            name: name.into(),
+            addr,
+            state,
+            _server: server,
+        }
+    }
+
+    pub fn instance(&self, upstream: &str) -> platform::Instance {
+        super::instance(&self.name, upstream, &self.addr)
+    }
+
+    pub fn dispatches(&self) -> Vec<(DispatchMeta, Vec<u8>)> {
+        self.state.lock().unwrap().dispatches.clone()
+    }
+
+    pub fn recalls(&self) -> Vec<String> {
+        self.state.lock().unwrap().recalls.clone()
+    }
+
+    /// Answers recalls with `recall`, or not at all.
+    pub fn answer_recalls(&self, recall: Option<Recall>) {
+        self.state.lock().unwrap().recall = recall;
+    }
+
+    /// Stops answering calls, as a frozen process does.
+    pub fn freeze_calls(&self) {
+        self.state.lock().unwrap().deaf = true;
+    }
+
+    pub fn say_leaving(&self) {
+        self.state.lock().unwrap().leaving = true;
+    }
+
+    /// Bodies that were given up before their end.
+    pub fn dropped_bodies(&self) -> u32 {
+        self.state.lock().unwrap().dropped_bodies
+    }
+}
+
+fn methods(state: Arc<Mutex<State>>, name: &str) -> impl trillium::Handler {
+    let recall_name = name.to_owned();
+    let status_name = name.to_owned();
+    Methods::new(state)
+        .with::<RecallRequest, _, _>(move |call, state| {
+            let sender = recall_name.as_str().into();
+            async move {
+                let recall = {
+                    let mut state = state.lock().unwrap();
+                    state.recalls.push(call.params.request_id.to_string());
+                    state.recall
+                };
+                let Some(recall) = recall else {
+                    return std::future::pending().await;
+                };
+                Ok(Answered {
+                    sender,
+                    generation: Generation(1),
+                    answer: RecallAnswer { recall },
+                })
+            }
+        })
+        .with::<GetStatus, _, _>(move |_call, state| {
+            let sender: types::InstanceId = status_name.as_str().into();
+            async move {
+                if state.lock().unwrap().deaf {
+                    return std::future::pending().await;
+                }
+                Ok(Answered {
+                    sender: sender.clone(),
+                    generation: Generation(1),
+                    answer: ProcessStatus {
+                        instance: sender,
+                        role: "agent".into(),
+                        generation: Generation(1),
+                        draining: false,
+                        in_flight: 0,
+                        load: None,
+                        upstreams: Vec::new(),
+                        membership_age_ms: 0,
+                    },
+                })
+            }
+        })
+        .into_handler(super::secrets())
+}
+
+async fn dispatched(mut conn: Conn, state: Arc<Mutex<State>>, name: &str) -> Conn {
+    let secrets = super::secrets();
+    if !rpc::is_from_peer(&conn, &secrets) {
+        return rpc::refuse_stranger(conn);
+    }
+    let header = conn.request_headers().get_str(DISPATCH_HEADER).unwrap();
+    let meta: DispatchMeta = serde_json::from_str(header).unwrap();
+    let body = conn.request_body().read_bytes().await.unwrap();
+    let resume_from = meta.resume_from;
+    let request_id = meta.request_id.to_string();
+    let (reaction, leaving) = {
+        let mut state = state.lock().unwrap();
+        state.dispatches.push((meta, body));
+        let reaction = state.reactions.pop_front();
+        let whole = || Reaction::Answer(whole(&request_id, resume_from, 8));
+        (reaction.unwrap_or_else(whole), state.leaving)
+    };
+    let reply = DispatchReply {
+        sender: name.into(),
+        generation: Generation(1),
+        load: LoadReport::default(),
+        leaving,
+    };
+    let conn = conn.with_response_header(REPLY_HEADER, serde_json::to_string(&reply).unwrap());
+    match reaction {
+        Reaction::Answer(pieces) => conn
+            .with_status(Status::Ok)
+            .with_response_header("content-type", "text/event-stream")
+            .with_body(Body::new_streaming(Pieces::new(pieces, state), None))
+            .halt(),
+        Reaction::Refuse(code, verdict) => {
+            let error = ErrorBody::new(code, verdict, "as scripted");
+            conn.with_status(Status::try_from(code.http_status()).unwrap())
+                .with_body(serde_json::to_string(&error).unwrap())
+                .halt()
+        }
+        Reaction::Garbage => conn
+            .with_status(Status::BadGateway)
+            .with_body("<html>")
+            .halt(),
+        Reaction::Hangup => conn
+            .with_status(Status::Ok)
+            .with_response_header("content-length", "1000000")
+            .with_body(Body::new_streaming(
+                Pieces::new(vec![Piece::Cut], state),
+                Some(1_000_000),
+            ))
+            .halt(),
+        Reaction::Silent => std::future::pending().await,
+    }
+}
+
+/// The event of one token.
+pub fn token(request_id: &str, index: u32) -> Vec<u8> {
+    let event = json!({
+        "id": request_id,
+        "object": "chat.completion.chunk",
+        "model": "m",
+        "token_index": index,
+        "choices": [{"index": 0, "delta": {"content": format!("w{index} ")}, "finish_reason": null}],
+    });
+    format!("data: {event}\n\n").into_bytes()
+}
+
+/// The events that end an answer of `count` tokens.
+pub fn ending(request_id: &str, count: u32) -> Vec<u8> {
+    let event = json!({
+        "id": request_id,
+        "object": "chat.completion.chunk",
+        "model": "m",
+        "choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}],
+        "usage": {"prompt_tokens": 3, "completion_tokens": count, "total_tokens": count + 3},
+    });
+    format!("data: {event}\n\ndata: [DONE]\n\n").into_bytes()
+}
+
+/// Tokens `from..until` as one piece each.
+pub fn tokens(request_id: &str, from: u32, until: u32) -> Vec<Piece> {
+    (from..until)
+        .map(|index| Piece::Bytes(token(request_id, index)))
+        .collect()
+}
+
+/// A whole answer from token `from` on, `count` tokens in all.
+pub fn whole(request_id: &str, from: u32, count: u32) -> Vec<Piece> {
+    let mut pieces = tokens(request_id, from, count);
+    pieces.push(Piece::Bytes(ending(request_id, count)));
+    pieces
+}
+
+struct Pieces {
+    left: VecDeque<Piece>,
+    wait: Option<smol::Timer>,
+    state: Arc<Mutex<State>>,
+    ended: bool,
+}
+
+impl Pieces {
+    fn new(pieces: Vec<Piece>, state: Arc<Mutex<State>>) -> Self {
+        Self {
+            left: pieces.into(),
+            wait: None,
+            state,
+            ended: false,
+        }
+    }
+}
+
+impl Drop for Pieces {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.state.lock().unwrap().dropped_bodies += 1;
+        }
+    }
+}
+
+impl AsyncRead for Pieces {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            if let Some(wait) = &mut self.wait {
+                if Pin::new(wait).poll(cx).is_pending() {
+                    return Poll::Pending;
+                }
+                self.wait = None;
+            }
+            match self.left.pop_front() {
+                None => {
+                    self.ended = true;
+                    return Poll::Ready(Ok(0));
+                }
+                Some(Piece::Bytes(mut bytes)) => {
+                    let count = bytes.len().min(buf.len());
+                    buf[..count].copy_from_slice(&bytes[..count]);
+                    if count < bytes.len() {
+                        let rest = bytes.split_off(count);
+                        self.left.push_front(Piece::Bytes(rest));
+                    }
+                    return Poll::Ready(Ok(count));
+                }
+                Some(Piece::WaitMs(wait_ms)) => {
+                    self.wait = Some(smol::Timer::after(Duration::from_millis(wait_ms)));
+                }
+                Some(Piece::Cut) => {
+                    self.ended = true;
+                    return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
+                }
+                Some(Piece::Hang) => {
+                    self.left.push_front(Piece::Hang);
+                    return Poll::Pending;
+                }
+            }
+        }
+    }
+}
--- a/crates/telemetry/src/events/entry.rs
+++ b/crates/telemetry/src/events/entry.rs
@@ -60,5 +60,45 @@
             attempts: u32,
         } = "A request ended without a whole answer.",
             "Look the request up with `limpetgw explain`; a high rate points at capacity or upstream failures.";
+        1005 Warn AttemptFailed {
+            /// The request.
+            request_id: RequestId,
+            /// Number of the attempt, from 1.
+            attempt: u32,
+            /// The instance.
+            instance: InstanceId,
+            /// Why.
+            code: ErrorCode,
+            /// Whether this attempt may have run.
+            verdict: Verdict,
+        } = "An attempt failed; another instance is tried where that is safe.",
+            "Look at the instance if it fails often.";
+        1006 Info CallerGone {
+            /// The request.
+            request_id: RequestId,
+            /// Tokens delivered before.
+            tokens: u32,
+        } = "The caller hung up; the upstream work was cancelled.", "Nothing.";
+        1007 Info DrainBegun {
+            /// Own instance.
+            instance: InstanceId,
+            /// Requests held at that moment.
+            in_flight: u32,
+            /// Time for which new requests are still served, in milliseconds.
+            balancer_lag_ms: u64,
+        } = "The entry began a graceful shutdown.", "Nothing.";
+        1008 Info Drained {
+            /// Own instance.
+            instance: InstanceId,
+        } = "The last request has ended and the entry stops.", "Nothing.";
+        1009 Info RequestRefused {
+            /// The request.
+            request_id: RequestId,
+            /// Why.
+            code: ErrorCode,
+            /// Time after which another try makes sense, in milliseconds; 0 for none.
+            retry_after_ms: u64,
+        } = "A request was refused before it was dispatched; it did not run.",
+            "A high rate of `queue_full` means more demand than capacity; `invalid_api_key` a misconfigured caller.";
     }
 }
