Configuration objects, store client and spreading, thin

The path runs end to end: a document is validated, cut into shards that are named by their digests, submitted by a conditional write of the head, and followed by every process through the store's watch, or through peers in an outage.

--- /dev/null
+++ b/crates/config/src/validate/mod.rs
@@ -0,0 +1,94 @@
+//! Checks a document before it is submitted or applied.
+//!
+//! Every error is found in one pass and names the path, the value and the
+//! rule, so that an operator mends a document in one go.
+
+mod parse;
+mod rules;
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::Document;
+
+/// Something wrong with a document.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Issue {
+    /// Where, as `classes.urgent.priority`.
+    pub path: String,
+    /// The value found there, as JSON text.
+    pub value: String,
+    /// What is allowed there.
+    pub rule: String,
+}
+
+impl Issue {
+    pub(crate) fn new(
+        path: impl Into<String>,
+        value: impl Serialize,
+        rule: impl Into<String>,
+    ) -> Self {
+        Self {
+            path: path.into(),
+            value: serde_json::to_string(&value).unwrap_or_default(),
+            rule: rule.into(),
+        }
+    }
+}
+
+impl fmt::Display for Issue {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}: {}", self.path, self.value, self.rule)
+    }
+}
+
+/// A document breaks rules; nothing of it may come into force.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error, Serialize, Deserialize)]
+#[error("the document has {} errors:{}", errors.len(), listed(errors))]
+pub struct Invalid {
+    /// Every error found.
+    pub errors: Vec<Issue>,
+}
+
+fn listed(errors: &[Issue]) -> String {
+    errors
+        .iter()
+        .map(|issue| format!("\n  {issue}"))
+        .collect::<String>()
+}
+
+impl Document {
+    /// Parses and checks a document.
+    ///
+    /// # Errors
+    ///
+    /// [`Invalid`] with every error in the text.
+    pub fn parse(text: &str) -> Result<Document, Invalid> {
+        let (document, mut errors) = parse::parse(text);
+        rules::check(&document, &mut errors);
+        if errors.is_empty() {
+            return Ok(document);
+        }
+        Err(Invalid { errors })
+    }
+
+    /// Checks the rules between and within the fields.
+    ///
+    /// # Errors
+    ///
+    /// [`Invalid`] with every rule that is broken.
+    pub fn validate(&self) -> Result<(), Invalid> {
+        let mut errors = Vec::new();
+        rules::check(self, &mut errors);
+        if errors.is_empty() {
+            return Ok(());
+        }
+        Err(Invalid { errors })
+    }
+
+    /// What is allowed but probably not meant.
+    pub fn warnings(&self) -> Vec<Issue> {
+        rules::warnings(self)
+    }
+}
--- /dev/null
+++ b/crates/console/src/config_command.rs
@@ -0,0 +1,292 @@
+//! Submitting, showing and comparing configurations.
+
+use std::{
+    path::Path,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use config::{Document, Issue, SessionEntry};
+use serde::{Deserialize, Serialize};
+use shared_state::{read_head, StoredHead, Submission, SubmitError};
+use telemetry::events::OperatorEvent;
+use types::Generation;
+
+use crate::{
+    difference::{difference, Change},
+    fleet::{generation_floor, status, FleetStatus},
+    Operator, OperatorError,
+};
+
+/// Pause between two rounds of asking the fleet.
+const WAIT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// How a document is submitted.
+#[derive(Clone, Debug)]
+pub struct SubmitArgs {
+    /// Unique id of the session; the same when it is run again.
+    pub session: String,
+    /// Who submits.
+    pub submitter: String,
+    /// Generation that the document was made from; `None` takes the one that
+    /// is stored now.
+    pub base_generation: Option<Generation>,
+    /// How long an unanswered write is tried to be settled.
+    pub settle_time: Duration,
+}
+
+/// What a submission did.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SubmitReport {
+    /// Generation that the document became.
+    pub generation: Generation,
+    /// The session.
+    pub session: String,
+    /// Whether an earlier run of the same session had submitted it.
+    pub by_earlier_run: bool,
+    /// What changed against the document before.
+    pub changes: Vec<Change>,
+    /// What is allowed but probably not meant.
+    pub warnings: Vec<Issue>,
+}
+
+/// A submission of the past.
+pub type HistoryLine = SessionEntry;
+
+/// A generation is in force everywhere.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaitReport {
+    /// The generation waited for.
+    pub generation: Generation,
+    /// Processes that have it in force.
+    pub instances: usize,
+    /// Time waited, in milliseconds.
+    pub waited_ms: u64,
+}
+
+/// Reads and checks a document from a file.
+///
+/// # Errors
+///
+/// [`OperatorError`] when it can't be read, or with every error in it.
+pub fn read_document(path: &Path) -> Result<Document, OperatorError> {
+    let text = std::fs::read_to_string(path).map_err(|error| OperatorError::File {
+        path: path.display().to_string(),
+        reason: error.to_string(),
+    })?;
+    Ok(Document::parse(&text)?)
+}
+
+/// Submits a document against what is stored now.
+///
+/// # Errors
+///
+/// [`OperatorError`], whose exit code says whether it may be in force.
+pub async fn submit(
+    operator: &Operator,
+    document: Document,
+    args: &SubmitArgs,
+) -> Result<SubmitReport, OperatorError> {
+    document.validate()?;
+    let base = base_for(operator, args).await?;
+    let before = match &base {
+        Some(stored) => operator.document_of(&stored.head).await?,
+        None => Document::default(),
+    };
+    submit_from(operator, base, &before, document, args).await
+}
+
+/// Submits a document against the state that the session read.
+pub(crate) async fn submit_from(
+    operator: &Operator,
+    base: Option<StoredHead>,
+    before: &Document,
+    document: Document,
+    args: &SubmitArgs,
+) -> Result<SubmitReport, OperatorError> {
+    let changes = difference(before, &document);
+    let warnings = document.warnings();
+    let submission = Submission::builder()
+        .document(document)
+        .session(args.session.clone())
+        .submitter(args.submitter.clone())
+        .submitted_unix_ms(unix_ms())
+        .maybe_base(base)
+        .generation_floor(generation_floor(operator).await)
+        .settle_time(args.settle_time)
+        .build();
+    let submitted = match shared_state::submit(&*operator.store, &submission).await {
+        Ok(submitted) => submitted,
+        Err(error) => return Err(explain(operator, before, error).await),
+    };
+    telemetry::emit(&OperatorEvent::DocumentSubmitted {
+        generation: submitted.generation,
+        session: args.session.clone(),
+    });
+    Ok(SubmitReport {
+        generation: submitted.generation,
+        session: args.session.clone(),
+        by_earlier_run: submitted.by_earlier_run,
+        changes,
+        warnings,
+    })
+}
+
+/// Makes a unique session id.
+pub fn new_session_id() -> String {
+    format!("s-{:016x}", rand::random::<u64>())
+}
+
+/// A submission's report for a terminal.
+pub fn submit_text(report: &SubmitReport) -> String {
+    let mut lines: Vec<String> = report.changes.iter().map(Change::to_string).collect();
+    let warnings = report.warnings.iter();
+    lines.extend(warnings.map(|warning| format!("warning: {warning}")));
+    let generation = report.generation.0;
+    lines.push(match report.by_earlier_run {
+        true => format!("an earlier run of this session submitted generation {generation}"),
+        false => format!("generation {generation} is submitted"),
+    });
+    lines.join("\n")
+}
+
+/// The document in force in the store, with its generation.
+///
+/// # Errors
+///
+/// [`OperatorError`] when there is none or it can't be read.
+pub async fn show(operator: &Operator) -> Result<(Generation, Document), OperatorError> {
+    let stored = stored_head(operator).await?;
+    let document = operator.document_of(&stored.head).await?;
+    Ok((stored.head.generation, document))
+}
+
+/// What a document would change.
+///
+/// # Errors
+///
+/// [`OperatorError`] when the stored one can't be read.
+pub async fn diff(operator: &Operator, document: &Document) -> Result<Vec<Change>, OperatorError> {
+    let before = match read_head(&*operator.store).await? {
+        Some(stored) => operator.document_of(&stored.head).await?,
+        None => Document::default(),
+    };
+    Ok(difference(&before, document))
+}
+
+/// The last submissions, oldest first.
+///
+/// # Errors
+///
+/// [`OperatorError`] when there are none or the head can't be read.
+pub async fn history(operator: &Operator) -> Result<Vec<HistoryLine>, OperatorError> {
+    Ok(stored_head(operator).await?.head.sessions)
+}
+
+/// Waits until a generation is in force in every listed process.
+///
+/// # Errors
+///
+/// [`OperatorError::NotEverywhere`] names the stragglers at the time limit.
+pub async fn wait(
+    operator: &Operator,
+    generation: Generation,
+    limit: Duration,
+) -> Result<WaitReport, OperatorError> {
+    let start = Instant::now();
+    loop {
+        let fleet = status(operator).await;
+        let is_last = start.elapsed() >= limit;
+        let stragglers = match &fleet {
+            Ok(fleet) => stragglers(fleet, generation),
+            Err(_) => vec!["the instance list".to_string()],
+        };
+        match fleet {
+            Ok(fleet) if stragglers.is_empty() => {
+                return Ok(WaitReport {
+                    generation,
+                    instances: fleet.instances.len(),
+                    waited_ms: u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX),
+                });
+            }
+            Err(error) if is_last => return Err(error),
+            _ if is_last => {
+                return Err(OperatorError::NotEverywhere {
+                    generation: generation.0,
+                    stragglers: stragglers.join(", "),
+                });
+            }
+            _ => {}
+        }
+        smol::Timer::after(WAIT_INTERVAL).await;
+    }
+}
+
+fn stragglers(fleet: &FleetStatus, generation: Generation) -> Vec<String> {
+    if fleet.instances.is_empty() {
+        return vec!["any process: the instance list is empty".to_string()];
+    }
+    let behind = fleet
+        .instances
+        .iter()
+        .filter(|one| one.generation().is_none_or(|own| own < generation));
+    behind
+        .map(|one| match one.generation() {
+            Some(own) => format!("{} (generation {})", one.instance, own.0),
+            None => format!("{} (no answer)", one.instance),
+        })
+        .collect()
+}
+
+async fn base_for(
+    operator: &Operator,
+    args: &SubmitArgs,
+) -> Result<Option<StoredHead>, OperatorError> {
+    let stored = read_head(&*operator.store)
+        .await
+        .map_err(SubmitError::NotSubmitted)?;
+    let Some(base_generation) = args.base_generation else {
+        return Ok(stored);
+    };
+    let stored_generation = stored
+        .as_ref()
+        .map_or(Generation(0), |stored| stored.head.generation);
+    let repeated = stored
+        .as_ref()
+        .is_some_and(|stored| stored.head.generation_of(&args.session).is_some());
+    match stored {
+        Some(stored) if stored_generation != base_generation && !repeated => {
+            let error = SubmitError::Lost(Box::new(stored.head));
+            Err(OperatorError::Submit(error))
+        }
+        stored => Ok(stored),
+    }
+}
+
+/// Adds what the winner changed to the error of a lost race.
+async fn explain(operator: &Operator, before: &Document, error: SubmitError) -> OperatorError {
+    let SubmitError::Lost(head) = &error else {
+        return error.into();
+    };
+    let Ok(winner) = operator.document_of(head).await else {
+        return error.into();
+    };
+    let changes: Vec<String> = difference(before, &winner)
+        .iter()
+        .map(Change::to_string)
+        .collect();
+    let changes = changes.join("\n");
+    OperatorError::Lost { error, changes }
+}
+
+async fn stored_head(operator: &Operator) -> Result<StoredHead, OperatorError> {
+    read_head(&*operator.store)
+        .await?
+        .ok_or(OperatorError::NoConfiguration)
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
--- a/crates/console/src/lib.rs
+++ b/crates/console/src/lib.rs
@@ -1,1 +1,15 @@
-//! Placeholder.
+//! What operators do: submit, show and compare configurations, look at the
+//! fleet, and drain instances.
+
+mod config_command;
+mod difference;
+mod fleet;
+mod operator;
+
+pub use config_command::{
+    diff, history, new_session_id, read_document, show, submit, submit_text, wait, HistoryLine,
+    SubmitArgs, SubmitReport, WaitReport,
+};
+pub use difference::{difference, Change};
+pub use fleet::{drain, generation_floor, status, FleetStatus, InstanceReport};
+pub use operator::{Operator, OperatorError};
--- a/crates/limpetgw/src/cli/mod.rs
+++ b/crates/limpetgw/src/cli/mod.rs
@@ -2,7 +2,9 @@
 
 mod agent;
 mod common;
+mod config;
 mod entry;
+mod operator;
 
 use std::process::ExitCode;
 
@@ -25,6 +27,8 @@
     Entry(Box<entry::EntryArgs>),
     /// Run an agent: the gate beside one upstream instance.
     Agent(Box<agent::AgentArgs>),
+    /// Show, compare, submit and follow configurations.
+    Config(Box<config::ConfigArgs>),
     /// Print a completion script for a shell.
     Completions {
         /// The shell.
@@ -48,12 +52,16 @@
     /// The agent could not run.
     #[error(transparent)]
     Agent(#[from] ::agent::RunError),
+    /// An operator command failed.
+    #[error(transparent)]
+    Operator(Box<console::OperatorError>),
 }
 
 impl CliError {
     pub(crate) fn exit_code(&self) -> ExitCode {
         match self {
             CliError::Setting { .. } => ExitCode::from(EXIT_USAGE),
+            CliError::Operator(error) => ExitCode::from(error.exit_code()),
             CliError::Entry(_) | CliError::Agent(_) => ExitCode::FAILURE,
         }
     }
@@ -64,6 +72,7 @@
         match self.command {
             Command::Entry(args) => args.run().await,
             Command::Agent(args) => args.run().await,
+            Command::Config(args) => args.run().await,
             Command::Completions { shell } => {
                 let mut command = Cli::command();
                 clap_complete::generate(shell, &mut command, "limpetgw", &mut std::io::stdout());
--- /dev/null
+++ b/crates/limpetgw/src/cli/operator.rs
@@ -0,0 +1,68 @@
+//! What the operator commands share: reaching the fleet, and output.
+
+use std::sync::Arc;
+
+use clap::{Args, ValueEnum};
+use console::{Operator, OperatorError};
+use serde::Serialize;
+
+use super::{common::PlatformArgs, CliError};
+
+/// Sender of operator commands' calls.
+const SENDER: &str = "operator";
+
+/// Form of the output.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, ValueEnum)]
+pub(crate) enum Output {
+    /// Lines to read.
+    #[default]
+    Text,
+    /// One JSON document for scripts.
+    Json,
+}
+
+/// Settings of every operator command.
+#[derive(Debug, Args)]
+pub(crate) struct OperatorArgs {
+    #[command(flatten)]
+    platform: PlatformArgs,
+    /// Form of the output.
+    #[arg(long, env = "LIMPETGW_OUTPUT", value_enum, default_value = "text")]
+    pub(crate) output: Output,
+}
+
+impl OperatorArgs {
+    pub(crate) fn operator(&self) -> Result<Operator, CliError> {
+        let platform = Arc::new(self.platform.client()?);
+        let secrets = self.platform.secrets()?;
+        Ok(Operator {
+            store: platform.clone(),
+            instances: platform,
+            peers: rpc::Client::new(SENDER.into(), secrets),
+        })
+    }
+
+    /// Prints a report in the form that was asked for.
+    pub(crate) fn print<T: Serialize>(&self, report: &T, as_text: impl FnOnce(&T) -> String) {
+        match self.output {
+            Output::Json => {
+                // Reports are plain data: serialization can't fail.
+                let text = serde_json::to_string_pretty(report).unwrap_or_default();
+                println!("{text}");
+            }
+            Output::Text => println!("{}", as_text(report)),
+        }
+    }
+}
+
+/// One line for each item.
+pub(crate) fn lines<T: ToString>(items: &[T]) -> String {
+    let lines: Vec<String> = items.iter().map(T::to_string).collect();
+    lines.join("\n")
+}
+
+impl From<OperatorError> for CliError {
+    fn from(error: OperatorError) -> Self {
+        CliError::Operator(Box::new(error))
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,9 +5,11 @@
 
 mod api;
 mod http;
+mod limiter;
 
 pub use api::{
     BoxFuture, Condition, Instance, InstanceList, InstanceSource, InstanceState, Key, Listed,
     Object, ObjectStore, Role, StoreError,
 };
 pub use http::HttpPlatform;
+pub use limiter::{Bucket, Rates};
--- a/crates/rpc/src/methods.rs
+++ b/crates/rpc/src/methods.rs
@@ -1,5 +1,6 @@
 //! JSON-RPC methods of entries and agents.
 
+use platform::InstanceList;
 use policy::{quarantine::Evidence, schedule::LoadReport, schedule::Recall};
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 use types::{Generation, InstanceId, RequestId};
@@ -57,6 +58,10 @@
     GetStatus = "status": () => Status;
     /// The configuration in force, as its head and shards (entry and agent).
     GetConfig = "config": GetConfigParams => Option<ConfigBundle>;
+    /// The instance list in use, for a process that starts in an outage (entry and agent).
+    GetMembership = "membership": () => MembershipView;
+    /// Tells and asks nothing but the generations in the envelopes (entry and agent).
+    CompareGenerations = "generations": () => ();
     /// Exchanges evidence about crashes (entry and agent).
     ExchangeEvidence = "evidence": Vec<Evidence> => Vec<Evidence>;
     /// Starts a graceful shutdown (entry and agent).
@@ -97,6 +102,17 @@
     pub shards: Vec<(String, serde_json::Value)>,
 }
 
+/// The instance list as a process uses it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MembershipView {
+    /// The list.
+    pub list: InstanceList,
+    /// Instances that said that they are leaving while the list shows them live.
+    pub leaving: Vec<InstanceId>,
+    /// Time since the platform last confirmed the list, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// State of a process, for operators.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Status {
--- /dev/null
+++ b/crates/shared-state/src/follow/instances.rs
@@ -0,0 +1,96 @@
+//! Follows the platform's instance list.
+
+use std::{sync::Arc, time::Duration};
+
+use rpc::methods::{GetMembership, GetStatus};
+
+use super::pace::jittered;
+use crate::{settings::Settings, state::SharedState};
+
+/// Mean time between tries while the list is unavailable.
+const RETRY_INTERVAL: Duration = Duration::from_secs(2);
+/// Longest wait for a peer's answer.
+const PEER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Size of one line of the list as JSON text, in bytes, about.
+const LINE_BYTES: usize = 150;
+/// Bytes per second that reading the list may cost a process.
+const LIST_BYTES_PER_S: usize = 8_000;
+
+/// Follows the list; runs as long as the process.
+pub(super) async fn follow(state: Arc<SharedState>, settings: Arc<Settings>) {
+    let mut after = None;
+    loop {
+        let answer = settings
+            .instances
+            .instances(after, settings.watch_timeout)
+            .await;
+        match answer {
+            Ok(list) => {
+                state.on_list_confirmed();
+                if let Some(list) = list {
+                    let lines = list.instances.len();
+                    state.on_list(list);
+                    smol::Timer::after(pause_after(lines)).await;
+                }
+                after = Some(state.list_version());
+            }
+            Err(error) => {
+                log::debug!("reading the instance list failed: {error}");
+                if state.list_version() == 0 {
+                    ask_seeds(&state, &settings).await;
+                }
+                // A list that was started anew is seen without a version.
+                after = None;
+                smol::Timer::after(jittered(RETRY_INTERVAL, rand::random())).await;
+            }
+        }
+        recheck_leaving(&state, &settings).await;
+    }
+}
+
+/// Pause after a list of so many lines was read: changes in quick succession
+/// are read as one.
+fn pause_after(lines: usize) -> Duration {
+    let bytes = lines.saturating_mul(LINE_BYTES);
+    Duration::from_secs_f64(bytes as f64 / LIST_BYTES_PER_S as f64)
+}
+
+/// Takes the list of the first seed that has one.
+async fn ask_seeds(state: &SharedState, settings: &Settings) {
+    for seed in &settings.seeds {
+        let answer = settings
+            .peers
+            .call::<GetMembership>(seed, state.generation(), (), PEER_TIMEOUT)
+            .await;
+        let Ok(answered) = answer else {
+            continue;
+        };
+        state.on_peer_generation(seed, answered.generation);
+        let view = answered.answer;
+        if view.list.version == 0 {
+            continue;
+        }
+        state.on_list(view.list);
+        for instance in &view.leaving {
+            state.on_leaving(instance);
+        }
+        return;
+    }
+}
+
+/// Asks instances that said that they are leaving, and that the list still
+/// shows as live, whether they take work again.
+async fn recheck_leaving(state: &SharedState, settings: &Settings) {
+    for (instance, addr) in state.tombstones() {
+        let answer = settings
+            .peers
+            .call::<GetStatus>(&addr, state.generation(), (), PEER_TIMEOUT)
+            .await;
+        let takes_work = answer.is_ok_and(|answered| {
+            answered.answer.instance == instance && !answered.answer.draining
+        });
+        if takes_work {
+            state.on_taking_work(&instance, &addr);
+        }
+    }
+}
--- /dev/null
+++ b/crates/shared-state/src/follow/pace.rs
@@ -0,0 +1,20 @@
+//! How calls of many processes are spread over time.
+
+use std::time::Duration;
+
+/// Store reads per second that the fetches after one change may add up to.
+const FETCH_READS_PER_S: u64 = 1_000;
+
+/// A random time around `mean`, from half of it to one and a half of it;
+/// `draw` lies in 0 to 1.
+pub fn jittered(mean: Duration, draw: f64) -> Duration {
+    mean.mul_f64(0.5 + draw.clamp(0.0, 1.0))
+}
+
+/// Delay before a process fetches the shards of a new head, so that the
+/// fetches of all `processes` together keep within the store's rate.
+pub fn delay_before_fetch(processes: usize, draw: f64) -> Duration {
+    let processes = u64::try_from(processes).unwrap_or(u64::MAX);
+    let span_ms = processes.saturating_mul(1000) / FETCH_READS_PER_S;
+    Duration::from_millis(span_ms).mul_f64(draw.clamp(0.0, 1.0))
+}
--- /dev/null
+++ b/crates/shared-state/src/follow/peers.rs
@@ -0,0 +1,156 @@
+//! Learns of newer configurations from peers.
+//!
+//! The store's watch tells most processes of a change within its round trip.
+//! Where a watch hangs or the store is down, generations spread from process
+//! to process: each compares its generation with a random peer's every few
+//! seconds, and tells some peers at once when its own has risen.
+
+use std::{sync::Arc, time::Duration};
+
+use futures_lite::FutureExt;
+use rand::RngExt;
+use rpc::methods::{CompareGenerations, GetConfig};
+use smol::channel::Receiver;
+use telemetry::events::StateEvent;
+
+use super::{config::read_from_store, pace::jittered};
+use crate::{
+    config_store::parse_head,
+    settings::Settings,
+    state::{Hint, SharedState},
+};
+
+/// Longest wait for a peer's answer.
+const PEER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Mean time that a process waits for the store's watch to bring what a peer
+/// has already.
+const WATCH_HEAD_START: Duration = Duration::from_millis(500);
+/// Longest wait for the store before a peer is asked.
+const STORE_HEAD_START: Duration = Duration::from_millis(700);
+/// Peers told at once of a newer configuration.
+const PEERS_TOLD: usize = 3;
+
+/// Fetches newer configurations that peers were heard to have.
+pub(super) async fn follow_hints(
+    state: Arc<SharedState>,
+    settings: Arc<Settings>,
+    hints: Receiver<Hint>,
+) {
+    while let Ok(hint) = hints.recv().await {
+        if hint.generation <= state.generation() {
+            continue;
+        }
+        if state.store_answers() {
+            smol::Timer::after(jittered(WATCH_HEAD_START, rand::random())).await;
+            ask_store(&state, &settings, &hint).await;
+        }
+        if hint.generation > state.generation() {
+            fetch_from_peer(&state, &settings, &hint.peer_addr).await;
+        }
+    }
+}
+
+async fn ask_store(state: &SharedState, settings: &Settings, hint: &Hint) {
+    if hint.generation <= state.generation() {
+        return;
+    }
+    let read = async {
+        // A failure is noted, and the peer is asked next.
+        let _ = read_from_store(state, settings).await;
+    };
+    let late = async {
+        smol::Timer::after(STORE_HEAD_START).await;
+        state.note_store(false);
+    };
+    read.or(late).await;
+}
+
+/// Fetches the configuration of a peer; the digests are checked.
+async fn fetch_from_peer(state: &SharedState, settings: &Settings, peer_addr: &str) {
+    let own = state.applied();
+    let answer = settings
+        .peers
+        .call::<GetConfig>(peer_addr, own.generation(), own.request(), PEER_TIMEOUT)
+        .await;
+    let bundle = match answer {
+        Ok(answered) => answered.answer,
+        Err(error) => {
+            log::debug!("a newer configuration could not be fetched: {error}");
+            return;
+        }
+    };
+    let Some(bundle) = bundle else {
+        return;
+    };
+    let applied = parse_head(&bundle.head)
+        .map_err(|error| error.to_string())
+        .and_then(|head| {
+            let shards = own.join(&head, bundle);
+            state
+                .apply(head, shards, "peer")
+                .map_err(|error| error.to_string())
+        });
+    if let Err(reason) = applied {
+        telemetry::emit(&StateEvent::PeerConfigurationRefused {
+            peer_addr: peer_addr.into(),
+            reason,
+        });
+    }
+}
+
+/// Compares generations with random peers; runs as long as the process.
+pub(super) async fn compare_generations(state: Arc<SharedState>, settings: Arc<Settings>) {
+    let mut told = state.generation();
+    loop {
+        let pause = jittered(settings.compare_interval, rand::random());
+        wait_for_rise(&state, told, pause).await;
+        let peers_asked = if state.generation() > told {
+            PEERS_TOLD
+        } else {
+            1
+        };
+        told = state.generation();
+        for _ in 0..peers_asked {
+            compare_with_one(&state, &settings).await;
+        }
+    }
+}
+
+/// Waits for `pause`, or until the generation has risen above `told`.
+async fn wait_for_rise(state: &SharedState, told: types::Generation, pause: Duration) {
+    const STEP: Duration = Duration::from_millis(100);
+    let end = std::time::Instant::now() + pause;
+    while state.generation() <= told && std::time::Instant::now() < end {
+        smol::Timer::after(STEP).await;
+    }
+}
+
+async fn compare_with_one(state: &SharedState, settings: &Settings) {
+    let Some(addr) = random_peer(state, settings) else {
+        return;
+    };
+    let answer = settings
+        .peers
+        .call::<CompareGenerations>(&addr, state.generation(), (), PEER_TIMEOUT)
+        .await;
+    if let Ok(answered) = answer {
+        state.on_peer_generation(&addr, answered.generation);
+    }
+}
+
+/// A random instance of the list, or a random seed while there is no list.
+fn random_peer(state: &SharedState, settings: &Settings) -> Option<Arc<str>> {
+    let membership = state.membership();
+    let others: Vec<&Arc<str>> = membership
+        .all
+        .iter()
+        .filter(|one| one.instance != settings.instance)
+        .map(|one| &one.addr)
+        .collect();
+    let mut rng = rand::rng();
+    if others.is_empty() {
+        let index = rng.random_range(0..settings.seeds.len().max(1));
+        return settings.seeds.get(index).cloned();
+    }
+    Some(others[rng.random_range(0..others.len())].clone())
+}
