--- a/crates/console/src/fleet.rs
+++ b/crates/console/src/fleet.rs
@@ -73,6 +73,41 @@
     })
 }
 
+/// The state of the fleet for a terminal: one line a process.
+pub fn status_text(fleet: &FleetStatus) -> String {
+    let stored = match fleet.stored_generation {
+        Some(generation) => format!("generation {} is stored", generation.0),
+        None => "the stored generation can't be read".to_string(),
+    };
+    let mut lines = vec![stored];
+    lines.extend(fleet.instances.iter().map(instance_text));
+    lines.join("\n")
+}
+
+fn instance_text(report: &InstanceReport) -> String {
+    let InstanceReport { instance, zone, .. } = report;
+    let role = match (&report.role, &report.upstream) {
+        (Role::Agent, Some(upstream)) => format!("agent of {upstream}"),
+        (Role::Agent, None) => "agent".to_string(),
+        (Role::Entry, _) => "entry".to_string(),
+    };
+    let state = match (&report.status, &report.error) {
+        (Some(status), _) => format!(
+            "{}, generation {}, {} in flight",
+            if status.draining { "draining" } else { "ready" },
+            status.generation.0,
+            status.in_flight
+        ),
+        (None, Some(error)) => format!("no answer: {error}"),
+        (None, None) => "no answer".to_string(),
+    };
+    let listed = match report.listed {
+        InstanceState::Live => "",
+        InstanceState::Leaving => ", listed as leaving",
+    };
+    format!("{instance} {zone} {role}: {state}{listed}")
+}
+
 /// Highest generation in force anywhere, as far as processes answer.
 pub async fn generation_floor(operator: &Operator) -> Generation {
     let Ok(list) = listed(operator).await else {
--- a/crates/console/src/lib.rs
+++ b/crates/console/src/lib.rs
@@ -4,6 +4,7 @@
 mod config_command;
 mod difference;
 mod fleet;
+mod keys;
 mod operator;
 
 pub use config_command::{
@@ -11,5 +12,6 @@
     SubmitArgs, SubmitReport, WaitReport,
 };
 pub use difference::{difference, Change};
-pub use fleet::{drain, generation_floor, status, FleetStatus, InstanceReport};
+pub use fleet::{drain, generation_floor, status, status_text, FleetStatus, InstanceReport};
+pub use keys::NewKey;
 pub use operator::{Operator, OperatorError};
--- a/crates/shared-state/src/lib.rs
+++ b/crates/shared-state/src/lib.rs
@@ -20,7 +20,7 @@
 };
 pub use follow::{delay_before_fetch, jittered};
 pub use membership::{Membership, MembershipTracker};
-pub use serve::{serve, Shares};
+pub use serve::serve;
 pub use settings::Settings;
 pub use state::SharedState;
 pub use submit::{submit, Submission, SubmitError, Submitted};
--- a/crates/shared-state/src/serve.rs
+++ b/crates/shared-state/src/serve.rs
@@ -3,43 +3,55 @@
 use std::sync::Arc;
 
 use rpc::{
-    methods::{Answered, Call, CompareGenerations, GetConfig, GetMembership},
+    methods::{Answered, Call, CompareGenerations, GetConfig, GetMembership, Method},
     MethodError, Methods,
 };
 use types::InstanceId;
 
 use crate::SharedState;
 
-/// What a process's method state must offer.
-pub trait Shares: Send + Sync + 'static {
-    /// Own instance.
-    fn instance(&self) -> &InstanceId;
-    /// The shared state.
-    fn shared(&self) -> &Arc<SharedState>;
+/// Adds the methods that pass on configuration and membership to those that
+/// `instance` serves: [`GetConfig`], [`GetMembership`] and
+/// [`CompareGenerations`].
+pub fn serve<S: Send + Sync + 'static>(
+    methods: Methods<S>,
+    instance: InstanceId,
+    shared: Arc<SharedState>,
+) -> Methods<S> {
+    let from = Source { instance, shared };
+    let methods = add::<GetConfig, S>(methods, &from, |shared, params| {
+        shared.config_bundle(params)
+    });
+    let methods = add::<GetMembership, S>(methods, &from, |shared, ()| shared.membership_view());
+    add::<CompareGenerations, S>(methods, &from, |_, ()| ())
 }
 
-/// Adds the methods that pass on configuration and membership.
-pub fn serve<S: Shares>(methods: Methods<S>) -> Methods<S> {
-    methods
-        .with::<GetConfig, _, _>(|call, state: Arc<S>| async move {
-            let bundle = state.shared().config_bundle(&call.params);
-            Ok::<_, MethodError>(answered(&*state, &call, bundle))
-        })
-        .with::<GetMembership, _, _>(|call, state: Arc<S>| async move {
-            let view = state.shared().membership_view();
-            Ok(answered(&*state, &call, view))
-        })
-        .with::<CompareGenerations, _, _>(|call, state: Arc<S>| async move {
-            Ok(answered(&*state, &call, ()))
-        })
+/// Who passes on what.
+#[derive(Clone)]
+struct Source {
+    instance: InstanceId,
+    shared: Arc<SharedState>,
 }
 
-fn answered<S: Shares, P, A>(state: &S, call: &Call<P>, answer: A) -> Answered<A> {
-    let shared = state.shared();
+fn add<M: Method, S: Send + Sync + 'static>(
+    methods: Methods<S>,
+    from: &Source,
+    answer: fn(&SharedState, &M::Params) -> M::Answer,
+) -> Methods<S> {
+    let from = from.clone();
+    methods.with::<M, _, _>(move |call, _| answered(from.clone(), call, answer))
+}
+
+async fn answered<P, A>(
+    from: Source,
+    call: Call<P>,
+    answer: fn(&SharedState, &P) -> A,
+) -> Result<Answered<A>, MethodError> {
+    let Source { instance, shared } = from;
     shared.on_sender_generation(&call.sender, call.generation);
-    Answered {
-        sender: state.instance().clone(),
+    Ok(Answered {
+        sender: instance,
         generation: shared.generation(),
-        answer,
-    }
+        answer: answer(&shared, &call.params),
+    })
 }
