Stand-ins for engine, platform and plain service, and the process harness

Tests of the whole path need something that behaves like the surroundings and fails on demand. Answers are a function of the prompt alone, so a caller can check every token, over a resume as well.

--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -1,1 +1,46 @@
-//! Placeholder.
+//! Starts fleets of real processes for tests, the demonstration and
+//! measurements, and makes them fail.
+//!
+//! A [`Fleet`] is a platform, engines and plain services (stand-ins), the
+//! product's agents beside them and its entries in front, all on loopback
+//! with ports from the system. Everything that a fleet started ends with it.
+//!
+//! ```no_run
+//! # fn main() -> Result<(), harness::HarnessError> { smol::block_on(async {
+//! use harness::{Fleet, FleetPlan, Question};
+//!
+//! let plan = FleetPlan::builder().engines(2).build();
+//! let mut fleet = Fleet::start(plan).await?;
+//! let reply = fleet.caller(0).ask(&Question::streamed("how worn? [len=40]")).await;
+//! assert!(reply.outcome.is_whole(), "{reply:?}");
+//!
+//! fleet.kill("engine-0")?;
+//! fleet.restart("engine-0").await?;
+//! fleet.set_faults("engine-1", r#"{"crash_at_token": 10}"#).await?;
+//! fleet.freeze("agent-0")?;
+//! fleet.thaw("agent-0")?;
+//! fleet.terminate("entry-0")?;
+//! # Ok(()) }) }
+//! ```
+//!
+//! Names: `platform`, `entry-0`.., `engine-0`.. with `agent-0`.. beside them,
+//! `service-0`.. with `service-agent-0`.. beside them.
+
+mod error;
+mod fleet;
+mod http;
+mod log_buffer;
+mod plan;
+mod process;
+mod programs;
+
+pub use error::HarnessError;
+pub use fleet::{Fleet, ENGINE_MODEL, ENGINE_UPSTREAM, SERVICE_ROUTE, SERVICE_UPSTREAM};
+pub use plan::{args, default_document, FleetPlan, CAFE_KEY, CLINIC_KEY};
+pub use process::{Listening, Process, Spec};
+pub use programs::Programs;
+pub use standins::{
+    caller::{Caller, Outcome, Question, Reply, ServiceCall},
+    engine::Stats,
+    service::{Ledger, Run},
+};
--- /dev/null
+++ b/crates/harness/src/plan.rs
@@ -0,0 +1,127 @@
+//! What a fleet is made of.
+
+use std::time::Duration;
+
+use config::{key_digest, Class, Document, Service, Team, Upstream, UpstreamKind};
+use types::{ClassName, ModelName, RouteName, TeamName, UpstreamName};
+
+use crate::{
+    fleet::{ENGINE_MODEL, ENGINE_UPSTREAM, SERVICE_ROUTE, SERVICE_UPSTREAM},
+    Programs,
+};
+
+/// API key of the team `clinic`.
+pub const CLINIC_KEY: &str = "clinic-key-for-tests";
+/// API key of the team `cafe`.
+pub const CAFE_KEY: &str = "cafe-key-for-tests";
+
+/// What a fleet is made of. Arguments are those of the programs' own help.
+#[derive(Clone, Debug, bon::Builder)]
+pub struct FleetPlan {
+    /// Entries.
+    #[builder(default = 1)]
+    pub entries: usize,
+    /// Engines, each with an agent.
+    #[builder(default = 1)]
+    pub engines: usize,
+    /// Plain services, each with an agent.
+    #[builder(default = 0)]
+    pub services: usize,
+    /// Availability zones over which all are spread in turn.
+    #[builder(default = 3)]
+    pub zones: usize,
+    /// The configuration in force from the start; `None` starts without one.
+    #[builder(required, default = Some(default_document()))]
+    pub document: Option<Document>,
+    /// Further arguments of the platform.
+    #[builder(default)]
+    pub platform_args: Vec<String>,
+    /// Further arguments of each engine.
+    #[builder(default)]
+    pub engine_args: Vec<String>,
+    /// Further arguments of each service.
+    #[builder(default)]
+    pub service_args: Vec<String>,
+    /// Further arguments of each entry.
+    #[builder(default)]
+    pub entry_args: Vec<String>,
+    /// Further arguments of each agent.
+    #[builder(default)]
+    pub agent_args: Vec<String>,
+    /// Where the programs are; beside the running one by default.
+    pub programs: Option<Programs>,
+    /// Longest wait until every entry serves.
+    #[builder(default = Duration::from_secs(20))]
+    pub ready_limit: Duration,
+}
+
+/// Splits arguments at spaces: `args("--batch-max 4 --token-ms 5")`.
+pub fn args(text: &str) -> Vec<String> {
+    text.split_whitespace().map(String::from).collect()
+}
+
+/// The configuration of a fleet whose plan has none of its own: the classes
+/// `urgent`, `standard` and `history`, two teams that may use all of them
+/// (`standard` by default), the engine upstream and the service upstream,
+/// whose calls below `/orders` run at most once.
+pub fn default_document() -> Document {
+    let mut document = Document::default();
+    let classes = [
+        ("urgent", 200, 500, 30_000),
+        ("standard", 100, 2_000, 60_000),
+        ("history", 10, 10_000, 120_000),
+    ];
+    for (name, priority, first_token_target_ms, deadline_ms) in classes {
+        let class = Class {
+            priority,
+            first_token_target_ms,
+            token_gap_target_ms: 0,
+            deadline_ms,
+            min_share_permille: 50,
+            queue_limit: 64,
+        };
+        document.classes.insert(ClassName::from(name), class);
+    }
+    for (name, key) in [("clinic", CLINIC_KEY), ("cafe", CAFE_KEY)] {
+        let team = Team {
+            key_digests: vec![key_digest(key)],
+            classes: ["standard", "urgent", "history"]
+                .map(ClassName::from)
+                .into(),
+            weight: 1,
+        };
+        document.teams.insert(TeamName::from(name), team);
+    }
+    let engines = Upstream {
+        models: vec![ModelName::from(ENGINE_MODEL)],
+        ..upstream(UpstreamKind::Engine)
+    };
+    document
+        .upstreams
+        .insert(UpstreamName::from(ENGINE_UPSTREAM), engines);
+    document.upstreams.insert(
+        UpstreamName::from(SERVICE_UPSTREAM),
+        upstream(UpstreamKind::Service),
+    );
+    let service = Service {
+        upstream: SERVICE_UPSTREAM.into(),
+        at_most_once_prefixes: vec!["/orders".into()],
+    };
+    document
+        .services
+        .insert(RouteName::from(SERVICE_ROUTE), service);
+    document
+}
+
+fn upstream(kind: UpstreamKind) -> Upstream {
+    Upstream {
+        kind,
+        models: Vec::new(),
+        adapters: Vec::new(),
+        checks_fencing: false,
+        running_min: 1,
+        running_max: 16,
+        reserved_slots: 0,
+        idempotent: true,
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/http.rs
@@ -0,0 +1,225 @@
+//! The engine's HTTP interface.
+
+use std::{
+    future::poll_fn,
+    sync::{Arc, PoisonError},
+    time::{Duration, Instant},
+};
+
+use serde::Deserialize;
+use serde_json::json;
+use trillium::{Body, Conn, Method};
+
+use super::{
+    engine_state::Engine,
+    orders::Order,
+    reader::Held,
+    stream::{Ask, Phase},
+    Faults,
+};
+use crate::{
+    answer::{prompt_text, Answer, Message},
+    serving::{answer_error, answer_json, cut, query_number, read_json},
+};
+
+/// The body of a chat completion request.
+#[derive(Debug, Deserialize)]
+struct ChatRequest {
+    model: String,
+    messages: Vec<Message>,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    priority: u8,
+    #[serde(default)]
+    resume_from: u32,
+}
+
+#[derive(Debug, Deserialize)]
+struct CancelRequest {
+    request_id: String,
+}
+
+/// Answers one call.
+pub(crate) async fn answer(engine: &Arc<Engine>, conn: Conn) -> Conn {
+    let path = conn.path().to_string();
+    match (conn.method(), path.as_str()) {
+        (Method::Post, "/admin/faults") => return set_faults(engine, conn).await,
+        (Method::Get, "/stats") => return answer_json(conn, 200, &engine.stats()),
+        _ => {}
+    }
+    engine.thawed().await;
+    match (conn.method(), path.as_str()) {
+        (Method::Post, "/v1/chat/completions") => complete(engine, conn).await,
+        (Method::Get, "/v1/models") => models(engine, conn),
+        (Method::Post, "/cancel") => cancel(engine, conn).await,
+        (Method::Get, "/load") => load(engine, conn),
+        (Method::Get, "/cache-events") => cache_events(engine, conn),
+        (Method::Post, "/orders") => order(engine, conn).await,
+        (Method::Get, "/orders") => orders(engine, conn),
+        _ => answer_error(conn, 404, "no such route"),
+    }
+}
+
+async fn complete(engine: &Arc<Engine>, mut conn: Conn) -> Conn {
+    let request: ChatRequest = match read_json(&mut conn).await {
+        Ok(request) => request,
+        Err(reason) => return answer_error(conn, 400, &reason),
+    };
+    if !engine.args.models.contains(&request.model) {
+        return answer_error(conn, 404, "no such model");
+    }
+    let prompt = prompt_text(&request.messages);
+    let ask = Ask {
+        request_id: request_id(&conn),
+        answer: Answer::to_prompt(&prompt, request.max_tokens),
+        model: request.model,
+        prompt,
+        priority: request.priority,
+        resume_from: request.resume_from,
+    };
+    let crossed = engine.faults().crossed;
+    let echoed_id = match crossed {
+        true => format!("not-{}", ask.request_id),
+        false => ask.request_id.clone(),
+    };
+    let conn = conn.with_response_header("x-request-id", echoed_id.clone());
+    let held = Held::new(Arc::clone(engine), engine.submit(ask.clone()));
+    if request.stream {
+        stream(conn, held).await
+    } else {
+        whole(conn, held, &echoed_id, &ask, crossed).await
+    }
+}
+
+async fn stream(mut conn: Conn, held: Held) -> Conn {
+    let first = poll_fn(|cx| held.poll_first(cx));
+    if conn.cancel_on_disconnect(first).await.is_none() {
+        return conn;
+    }
+    conn.with_status(200)
+        .with_response_header("content-type", "text/event-stream")
+        .with_body(Body::new_streaming(held, None))
+        .halt()
+}
+
+async fn whole(mut conn: Conn, held: Held, id: &str, ask: &Ask, crossed: bool) -> Conn {
+    let end = poll_fn(|cx| held.poll_end(cx));
+    let Some(phase) = conn.cancel_on_disconnect(end).await else {
+        return conn;
+    };
+    if phase == Phase::Cut {
+        return cut(conn);
+    }
+    let mut answer = match crossed {
+        true => ask.answer.crossed(),
+        false => ask.answer,
+    };
+    answer.length = held.take_whole();
+    let body = json!({
+        "id": id,
+        "object": "chat.completion",
+        "model": ask.model,
+        "choices": [{
+            "index": 0,
+            "message": {"role": "assistant", "content": answer.text_from(ask.resume_from)},
+            "finish_reason": "stop",
+        }],
+        "usage": {
+            "prompt_tokens": answer.prompt_tokens,
+            "completion_tokens": answer.length,
+            "total_tokens": u64::from(answer.prompt_tokens) + u64::from(answer.length),
+        },
+    });
+    answer_json(conn, 200, &body)
+}
+
+fn models(engine: &Engine, conn: Conn) -> Conn {
+    let data: Vec<_> = engine
+        .args
+        .models
+        .iter()
+        .map(|model| json!({"id": model, "object": "model"}))
+        .collect();
+    answer_json(conn, 200, &json!({"object": "list", "data": data}))
+}
+
+async fn cancel(engine: &Engine, mut conn: Conn) -> Conn {
+    match read_json::<CancelRequest>(&mut conn).await {
+        Ok(request) => {
+            let cancelled = engine.cancel(&request.request_id);
+            answer_json(conn, 200, &json!({"cancelled": cancelled}))
+        }
+        Err(reason) => answer_error(conn, 400, &reason),
+    }
+}
+
+fn load(engine: &Engine, conn: Conn) -> Conn {
+    let lag_ms = engine
+        .faults()
+        .load_lag_ms
+        .unwrap_or(engine.args.load_lag_ms);
+    let load = engine
+        .history()
+        .lagging(Instant::now(), Duration::from_millis(lag_ms));
+    answer_json(
+        conn,
+        200,
+        &json!({
+            "running": load.running,
+            "waiting": load.waiting,
+            "kv_used_share": load.kv_used_share,
+            "measured_ms_ago": lag_ms,
+        }),
+    )
+}
+
+fn cache_events(engine: &Engine, conn: Conn) -> Conn {
+    let after = query_number(&conn, "after").unwrap_or(0);
+    let events = engine.batch().cache.events_after(after, Instant::now());
+    answer_json(conn, 200, &json!({"events": events}))
+}
+
+async fn order(engine: &Engine, mut conn: Conn) -> Conn {
+    let order: Order = match read_json(&mut conn).await {
+        Ok(order) => order,
+        Err(reason) => return answer_error(conn, 400, &reason),
+    };
+    let checks_fencing = engine.faults().fencing.unwrap_or(engine.args.fencing);
+    let applied = engine
+        .orders
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .apply(order, checks_fencing);
+    if applied {
+        answer_json(conn, 200, &json!({"applied": true}))
+    } else {
+        answer_error(conn, 409, "the fencing number is old")
+    }
+}
+
+fn orders(engine: &Engine, conn: Conn) -> Conn {
+    let orders = engine.orders.lock().unwrap_or_else(PoisonError::into_inner);
+    let body = json!({"orders": orders.applied()});
+    drop(orders);
+    answer_json(conn, 200, &body)
+}
+
+async fn set_faults(engine: &Engine, mut conn: Conn) -> Conn {
+    match read_json::<Faults>(&mut conn).await {
+        Ok(faults) => {
+            engine.set_faults(faults);
+            answer_json(conn, 200, &json!({}))
+        }
+        Err(reason) => answer_error(conn, 400, &reason),
+    }
+}
+
+fn request_id(conn: &Conn) -> String {
+    conn.request_headers()
+        .get_str("x-request-id")
+        .unwrap_or_default()
+        .to_string()
+}
