--- a/crates/limpetgw/src/cli/mod.rs
+++ b/crates/limpetgw/src/cli/mod.rs
@@ -2,7 +2,13 @@
 
 mod agent;
 mod common;
+mod config;
+mod drain;
 mod entry;
+mod explain;
+mod keys;
+mod operator;
+mod status;
 
 use std::process::ExitCode;
 
@@ -25,6 +31,16 @@
     Entry(Box<entry::EntryArgs>),
     /// Run an agent: the gate beside one upstream instance.
     Agent(Box<agent::AgentArgs>),
+    /// Show why a request went where it went, from log files.
+    Explain(explain::ExplainArgs),
+    /// Show, compare, submit and follow configurations.
+    Config(Box<config::ConfigArgs>),
+    /// Show the state of every listed process.
+    Status(Box<status::StatusArgs>),
+    /// Let an instance finish what it has and leave.
+    Drain(Box<drain::DrainArgs>),
+    /// Make API keys for teams.
+    Keys(keys::KeysArgs),
     /// Print a completion script for a shell.
     Completions {
         /// The shell.
@@ -42,19 +58,26 @@
         value: String,
         allowed: String,
     },
+    /// The command found nothing to show.
+    #[error("nothing found")]
+    NothingFound,
     /// The entry could not run.
     #[error(transparent)]
     Entry(#[from] ::entry::RunError),
     /// The agent could not run.
     #[error(transparent)]
     Agent(#[from] ::agent::RunError),
+    /// An operator command failed.
+    #[error(transparent)]
+    Operator(Box<console::OperatorError>),
 }
 
 impl CliError {
     pub(crate) fn exit_code(&self) -> ExitCode {
         match self {
             CliError::Setting { .. } => ExitCode::from(EXIT_USAGE),
-            CliError::Entry(_) | CliError::Agent(_) => ExitCode::FAILURE,
+            CliError::Operator(error) => ExitCode::from(error.exit_code()),
+            CliError::NothingFound | CliError::Entry(_) | CliError::Agent(_) => ExitCode::FAILURE,
         }
     }
 }
@@ -64,6 +87,11 @@
         match self.command {
             Command::Entry(args) => args.run().await,
             Command::Agent(args) => args.run().await,
+            Command::Explain(args) => args.run(),
+            Command::Config(args) => args.run().await,
+            Command::Status(args) => args.run().await,
+            Command::Drain(args) => args.run().await,
+            Command::Keys(args) => args.run(),
             Command::Completions { shell } => {
                 let mut command = Cli::command();
                 clap_complete::generate(shell, &mut command, "limpetgw", &mut std::io::stdout());
--- /dev/null
+++ b/crates/limpetgw/src/cli/status.rs
@@ -0,0 +1,20 @@
+//! `limpetgw status`.
+
+use clap::Args;
+
+use super::{operator::OperatorArgs, CliError};
+
+/// Shows the state of every listed process.
+#[derive(Debug, Args)]
+pub(crate) struct StatusArgs {
+    #[command(flatten)]
+    operator: OperatorArgs,
+}
+
+impl StatusArgs {
+    pub(crate) async fn run(&self) -> Result<(), CliError> {
+        let status = console::status(&self.operator.operator()?).await?;
+        self.operator.print(&status, console::status_text);
+        Ok(())
+    }
+}
