--- /dev/null
+++ b/xtask/src/lib.rs
@@ -0,0 +1,3 @@
+//! Chores of the project that tests check as well.
+
+pub mod docs;
