Whole path through separate processes: fleet with configuration, first tests

The harness submits the plan's document through shared-state, as an operator's session does, and waits until each entry has answered.

--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -1,15 +1,19 @@
 //! The fleet: all processes by name.
 
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
+use config::Document;
 use indexmap::IndexMap;
+use platform::HttpPlatform;
 use serde_json::{json, Value};
+use shared_state::Submission;
 use standins::{
     caller::{Caller, Question},
     engine::Stats,
     service::{Ledger, LedgerLine, Run},
 };
 use trillium_client::{Client, Method};
+use types::Generation;
 
 use crate::{
     http::{call, call_json, client},
@@ -97,6 +101,9 @@
             members: IndexMap::new(),
             http: client(),
         };
+        if let Some(document) = fleet.plan.document.clone() {
+            fleet.submit(document).await?;
+        }
         for _ in 0..fleet.plan.engines {
             fleet.add_engine().await?;
         }
@@ -353,6 +360,30 @@
         Ok(())
     }
 
+    /// Submits a document as an operator's session does; its generation.
+    ///
+    /// # Errors
+    ///
+    /// When it is not taken, or it is not known whether it was.
+    pub async fn submit(&self, document: Document) -> Result<Generation, HarnessError> {
+        let refused = |reason: String| HarnessError::Config(reason);
+        let store = HttpPlatform::new(self.platform_addr());
+        let base = shared_state::read_head(&store)
+            .await
+            .map_err(|error| refused(error.to_string()))?;
+        let submission = Submission::builder()
+            .document(document)
+            .session(format!("{:016x}", rand::random::<u64>()))
+            .submitter("harness".into())
+            .submitted_unix_ms(unix_ms())
+            .maybe_base(base)
+            .build();
+        let submitted = shared_state::submit(&store, &submission)
+            .await
+            .map_err(|error| refused(error.to_string()))?;
+        Ok(submitted.generation)
+    }
+
     /// Counters of an engine since its last start.
     ///
     /// # Errors
@@ -506,6 +537,11 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since_epoch.map_or(0, |time| time.as_millis() as u64)
+}
+
 fn platform_spec(programs: &Programs, plan: &FleetPlan) -> Result<Spec, HarnessError> {
     let mut args = vec!["platform".into()];
     args.extend(plan.platform_args.clone());
--- a/crates/standins/src/caller/check.rs
+++ b/crates/standins/src/caller/check.rs
@@ -14,7 +14,8 @@
 struct Chunk<'a> {
     #[serde(borrow)]
     id: Cow<'a, str>,
-    token_index: u32,
+    #[serde(default)]
+    token_index: Option<u32>,
     #[serde(borrow)]
     choices: Vec<ChunkChoice<'a>>,
     #[serde(default)]
@@ -151,7 +152,7 @@
             return;
         };
         if let Some(content) = &choice.delta.content {
-            self.take_token(chunk.token_index, content);
+            self.take_token(chunk.token_index.unwrap_or(u32::MAX), content);
         }
         if choice.finish_reason.is_some() {
             self.is_finished = true;
