--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -11,9 +11,10 @@
 };
 use rpc::DispatchReply;
 use shared_state::SharedState;
+use telemetry::events::AgentEvent;
 use types::{Fingerprint, Generation, InstanceId};
 
-use crate::{clock::Clock, gate::Gate, settings::Settings, upstream::Upstream};
+use crate::{clock::Clock, gate::Gate, meters::Meters, settings::Settings, upstream::Upstream};
 
 /// Slack on the age of a request that a recall may refer to, in milliseconds.
 const RECALL_SLACK_MS: u64 = 30_000;
@@ -27,6 +28,7 @@
     pub(crate) upstream: Upstream,
     pub(crate) shared: Arc<SharedState>,
     pub(crate) in_flight: InFlight,
+    pub(crate) meters: Meters,
     suspects: Mutex<SuspectMemory>,
 }
 
@@ -68,6 +70,7 @@
             upstream: Upstream::new(settings.upstream_addr.clone()),
             shared,
             in_flight: InFlight::default(),
+            meters: Meters::new(),
             suspects: Mutex::new(SuspectMemory::new()),
             settings,
         }
@@ -90,11 +93,11 @@
     }
 
     /// What every answer to an entry says about this agent.
-    pub(crate) fn reply(&self) -> DispatchReply {
+    pub(crate) fn reply(&self, load: LoadReport) -> DispatchReply {
         DispatchReply {
             sender: self.settings.instance.clone(),
             generation: self.shared.config().generation,
-            load: self.load(),
+            load,
             leaving: self.gate.is_draining(),
         }
     }
@@ -108,9 +111,14 @@
         load
     }
 
-    /// Counts generated tokens.
-    pub(crate) fn count_tokens(&self, tokens: u32) {
-        metrics::counter!("limpetgw_agent_tokens_total").increment(u64::from(tokens));
+    /// Refuses new requests from now on and finishes those that are held.
+    pub(crate) fn drain(&self) {
+        if self.gate.drain() {
+            telemetry::emit(&AgentEvent::DrainStarted {
+                instance: self.settings.instance.clone(),
+                held: u32::try_from(self.gate.held()).unwrap_or(u32::MAX),
+            });
+        }
     }
 
     /// Notes a whole answer.
--- a/crates/agent/src/calls.rs
+++ b/crates/agent/src/calls.rs
@@ -2,10 +2,11 @@
 
 use std::sync::Arc;
 
+use policy::schedule::Recall;
 use rpc::{
     methods::{
-        Answered, Call, Drain, ExchangeEvidence, GetConfig, GetStatus, RecallAnswer, RecallRequest,
-        Status,
+        Answered, Call, Drain, ExchangeEvidence, GetConfig, GetStatus, RecallAnswer, RecallParams,
+        RecallRequest, Status,
     },
     MethodError, Methods,
 };
@@ -19,9 +20,7 @@
     Methods::new(agent)
         .with::<RecallRequest, _, _>(|call, agent| async move {
             note(&agent, &call);
-            let recall = agent
-                .gate
-                .recall(&call.params.request_id, call.params.cancel);
+            let recall = recall(&agent, &call);
             answered(&agent, RecallAnswer { recall })
         })
         .with::<GetStatus, _, _>(|call, agent| async move {
@@ -43,7 +42,7 @@
         })
         .with::<Drain, _, _>(|call, agent| async move {
             note(&agent, &call);
-            agent.gate.drain();
+            agent.drain();
             answered(&agent, ())
         })
 }
@@ -60,6 +59,14 @@
     })
 }
 
+fn recall(agent: &Agent, call: &Call<RecallParams>) -> Recall {
+    let RecallParams { request_id, cancel } = &call.params;
+    let recall = agent.gate.recall(request_id, *cancel);
+    let recalled = recall == Recall::Recalled;
+    agent.note_recalled(request_id, &call.sender, recalled, *cancel);
+    recall
+}
+
 fn status(agent: &Agent) -> Status {
     Status {
         instance: agent.settings.instance.clone(),
--- a/crates/agent/src/dispatch.rs
+++ b/crates/agent/src/dispatch.rs
@@ -1,8 +1,8 @@
 //! `POST /dispatch`: one request from an entry to the upstream.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Instant};
 
-use policy::schedule::Job;
+use policy::schedule::{Job, LoadReport};
 use rpc::{DispatchMeta, Target, DISPATCH_HEADER, REPLY_HEADER, UPSTREAM_STATUS_HEADER};
 use smol::channel::{bounded, Receiver, Sender};
 use trillium::{Body, Conn, Status};
@@ -99,7 +99,11 @@
 ) -> Result<Receiver<Outcome>, Refusal> {
     check_configured(agent, &meta)?;
     check_body(&meta, &body)?;
-    let request = agent.gate.submit(job(agent, &meta))?;
+    let load = agent.load();
+    let job = job(agent, &meta);
+    let run_alone = job.run_alone;
+    let request = agent.gate.submit(job)?;
+    agent.note_queued(&meta, run_alone, &load);
     let (sender, outcome) = bounded(1);
     let task = run(agent.clone(), request, meta, body, EntrySide(sender));
     async_global_executor::spawn(task).detach();
@@ -113,10 +117,13 @@
     body: Vec<u8>,
     entry: EntrySide,
 ) {
+    let queued_at = Instant::now();
     let started = match request.admitted().await {
         Ok(started) => started,
         Err(refusal) => return entry.refuse(refusal),
     };
+    let (queued, priority) = (queued_at.elapsed(), started.engine_priority());
+    agent.note_started(&meta.request_id, queued, priority, meta.resume_from);
     match meta.target {
         Target::Completion { .. } => {
             let completion = Completion {
@@ -174,13 +181,13 @@
 
 fn answer(conn: Conn, agent: &Agent, request_id: &RequestId, outcome: Outcome) -> Conn {
     match outcome {
-        Outcome::Stream(reader) => with_reply(conn, agent)
+        Outcome::Stream(reader) => with_reply(conn, agent, agent.load())
             .with_status(Status::Ok)
             .with_response_header("content-type", "text/event-stream")
             .with_body(Body::new_streaming(reader, None))
             .halt(),
         Outcome::Call(call) => {
-            let mut conn = with_reply(conn, agent)
+            let mut conn = with_reply(conn, agent, agent.load())
                 .with_status(Status::Ok)
                 .with_response_header(UPSTREAM_STATUS_HEADER, call.status.to_string());
             if let Some(content_type) = call.content_type {
@@ -195,16 +202,18 @@
 fn refuse(conn: Conn, agent: &Agent, request_id: Option<&RequestId>, refusal: &Refusal) -> Conn {
     let body = serde_json::to_string(&refusal.body(request_id)).unwrap_or_default();
     let status = Status::try_from(refusal.code.http_status()).unwrap_or(Status::BadGateway);
-    with_reply(conn, agent)
+    let load = agent.load();
+    agent.note_refused(request_id, refusal, &load);
+    with_reply(conn, agent, load)
         .with_status(status)
         .with_response_header("content-type", "application/json")
         .with_body(body)
         .halt()
 }
 
-fn with_reply(conn: Conn, agent: &Agent) -> Conn {
+fn with_reply(conn: Conn, agent: &Agent, load: LoadReport) -> Conn {
     // A reply is a flat struct of names and numbers: serialization can't fail.
-    let reply = serde_json::to_string(&agent.reply()).unwrap_or_default();
+    let reply = serde_json::to_string(&agent.reply(load)).unwrap_or_default();
     conn.with_response_header(REPLY_HEADER, reply)
 }
 
--- a/crates/agent/src/evidence.rs
+++ b/crates/agent/src/evidence.rs
@@ -29,6 +29,7 @@
         let now = self.clock.now();
         self.suspects()
             .on_crash(now, instance, sequence, &running.fingerprints);
+        self.meters.crashed();
         telemetry::emit(&AgentEvent::UpstreamCrashed {
             instance: instance.clone(),
             sequence,
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -160,11 +160,13 @@
         inner.carry_out(now, actions);
     }
 
-    /// Refuses new requests from now on.
-    pub(crate) fn drain(&self) {
+    /// Refuses new requests from now on; `false` when that was so already.
+    pub(crate) fn drain(&self) -> bool {
         let mut inner = self.lock();
+        let is_first = !inner.draining;
         inner.draining = true;
         inner.scheduler.drain();
+        is_first
     }
 
     /// Whether new requests are refused.
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -10,6 +10,8 @@
 mod dispatch;
 mod evidence;
 mod gate;
+mod journal;
+mod meters;
 mod refusal;
 mod relay;
 mod server;
--- a/crates/agent/src/relay/call.rs
+++ b/crates/agent/src/relay/call.rs
@@ -10,6 +10,7 @@
     agent::Agent,
     dispatch::{EntrySide, Outcome},
     gate::{Interrupt, Request, Started},
+    journal::Course,
     refusal::Refusal,
     upstream::{read_whole, CallAnswer, Fault},
 };
@@ -41,15 +42,18 @@
     entry: EntrySide,
 ) {
     let fingerprint = call.fingerprint;
+    let course = Course::new();
     match exchange(agent, &request, call).await {
         CallEnd::Answered(answer) => {
             entry.answer(Outcome::Call(answer));
             agent.on_whole(fingerprint);
+            course.note_end(agent, request.id(), End::Whole);
             request.finish(End::Whole);
         }
         CallEnd::Failed(fault) => {
             agent.on_fault(request.id(), &fault).await;
             entry.refuse(fault.refusal());
+            course.note_end(agent, request.id(), End::Failed);
             request.finish(End::Failed);
         }
         CallEnd::Cancelled => {
@@ -57,6 +61,7 @@
                 ErrorCode::Recalled,
                 "the call was cancelled after it had started",
             ));
+            course.note_end(agent, request.id(), End::Cancelled);
             request.finish(End::Cancelled);
         }
     }
--- a/crates/agent/src/relay/completion.rs
+++ b/crates/agent/src/relay/completion.rs
@@ -11,6 +11,7 @@
     agent::Agent,
     dispatch::{EntrySide, Outcome},
     gate::{Interrupt, Request, Started},
+    journal::Course,
     refusal::Refusal,
     upstream::{completion_body, Answer, Fault},
 };
@@ -91,6 +92,7 @@
     sink: Sink,
     buffer: Vec<u8>,
     silence: Silence,
+    course: Course,
 }
 
 impl<'a> Relay<'a> {
@@ -104,6 +106,7 @@
             sink: Sink::Waiting(entry),
             buffer: vec![0; READ_BYTES],
             silence: Silence::new(agent.settings.upstream_silence),
+            course: Course::new(),
         }
     }
 
@@ -193,7 +196,8 @@
         let tokens = self.check.next_index();
         if tokens > before {
             self.silence.note_progress();
-            self.agent.count_tokens(tokens - before);
+            self.agent.meters.tokens(tokens - before);
+            self.course.note_tokens(self.agent, tokens);
             request.generated(tokens);
         }
         checked.map_err(|mismatch| TurnEnd::Failed(mismatch.into()))
@@ -246,6 +250,7 @@
             pipe.finish();
         }
         self.agent.on_whole(self.completion.fingerprint);
+        self.course.note_end(self.agent, request.id(), End::Whole);
         request.finish(End::Whole);
     }
 
@@ -257,6 +262,7 @@
         if !matches!(fault, Fault::Unreachable(_) | Fault::Unsendable(_)) {
             self.agent.upstream.cancel(request.id()).await;
         }
+        self.course.note_end(self.agent, request.id(), End::Failed);
         request.finish(End::Failed);
     }
 
@@ -265,6 +271,8 @@
             entry.refuse(cancelled());
         }
         self.agent.upstream.cancel(request.id()).await;
+        self.course
+            .note_end(self.agent, request.id(), End::Cancelled);
         request.finish(End::Cancelled);
     }
 
@@ -272,6 +280,8 @@
     async fn pause(&mut self, request: Request<Started>) -> Option<Request<Started>> {
         self.agent.upstream.cancel(request.id()).await;
         self.check.restart();
+        let tokens = self.check.next_index();
+        self.agent.note_paused(request.id(), tokens);
         let sink = &mut self.sink;
         async { request.pause().resumed().await }
             .or(async {
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -31,6 +31,7 @@
     let secrets = agent.settings.secrets.clone();
     let calls = calls::methods(agent.clone()).into_handler(secrets);
     let dispatching = agent.clone();
+    let measured = agent.clone();
     Router::new()
         .post(DISPATCH_PATH, move |conn: Conn| {
             dispatch::serve(conn, dispatching.clone())
@@ -41,8 +42,9 @@
             let is_ready = is_ready(&agent);
             async move { ready(conn, is_ready) }
         })
-        .get("/metrics", |conn: Conn| async move {
-            conn.ok(telemetry::render_metrics())
+        .get("/metrics", move |conn: Conn| {
+            measured.meters.load(&measured.load());
+            async move { conn.ok(telemetry::render_metrics()) }
         })
 }
 
--- a/crates/agent/src/stop.rs
+++ b/crates/agent/src/stop.rs
@@ -13,6 +13,7 @@
 use futures_lite::FutureExt;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use smol::Timer;
+use telemetry::events::AgentEvent;
 use trillium_server_common::ServerHandle;
 
 use crate::agent::Agent;
@@ -56,7 +57,7 @@
 
     /// Refuses new requests from now on.
     pub fn drain(&self) {
-        self.agent.gate.drain();
+        self.agent.drain();
     }
 
     /// Drains once `flag` is set.
@@ -66,7 +67,7 @@
             while !flag.load(Ordering::Relaxed) {
                 Timer::after(TICK).await;
             }
-            agent.gate.drain();
+            agent.drain();
         })
         .detach();
     }
@@ -89,6 +90,9 @@
                 break;
             }
         }
+        telemetry::emit(&AgentEvent::DrainFinished {
+            instance: self.agent.settings.instance.clone(),
+        });
         let close = async {
             self.server.shut_down().await;
         };
