--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -3,14 +3,13 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use rpc::{DISPATCH_PATH, RPC_PATH};
-use trillium::{Conn, Handler, Status};
+use trillium::{Conn, Handler, Status, Swansong};
 use trillium_router::Router;
-use trillium_server_common::ServerHandle;
 
 use crate::{agent::Agent, calls, dispatch, RunError};
 
 /// Binds the listener and starts to serve; returns the bound address.
-pub(crate) async fn start(agent: Arc<Agent>) -> Result<(SocketAddr, ServerHandle), RunError> {
+pub(crate) async fn start(agent: Arc<Agent>) -> Result<(SocketAddr, Swansong), RunError> {
     let listen_error = |reason: std::io::Error| RunError::Listen {
         addr: agent.settings.listen.to_string(),
         reason: reason.to_string(),
@@ -24,7 +23,7 @@
         .with_nodelay()
         .with_prebound_server(listener)
         .spawn(routes(agent));
-    Ok((addr, handle))
+    Ok((addr, handle.swansong()))
 }
 
 fn routes(agent: Arc<Agent>) -> impl Handler {
--- a/crates/agent/src/stop.rs
+++ b/crates/agent/src/stop.rs
@@ -14,7 +14,7 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use smol::Timer;
 use telemetry::events::AgentEvent;
-use trillium_server_common::ServerHandle;
+use trillium::Swansong;
 
 use crate::agent::Agent;
 
@@ -29,7 +29,7 @@
 pub struct Running {
     agent: Arc<Agent>,
     addr: SocketAddr,
-    server: ServerHandle,
+    server: Swansong,
 }
 
 /// The flag that SIGTERM and SIGINT set.
@@ -41,7 +41,7 @@
 }
 
 impl Running {
-    pub(crate) fn new(agent: Arc<Agent>, addr: SocketAddr, server: ServerHandle) -> Self {
+    pub(crate) fn new(agent: Arc<Agent>, addr: SocketAddr, server: Swansong) -> Self {
         async_global_executor::spawn(tick(agent.clone())).detach();
         Self {
             agent,
--- a/crates/agent/tests/dispatch.rs
+++ b/crates/agent/tests/dispatch.rs
@@ -32,12 +32,7 @@
 fn a_token_is_passed_on_before_the_next_one_is_there() {
     smol::block_on(async {
         let (engine, agent) = engine_and_agent(4).await;
-        let entry = Entry::of(&agent);
-        let meta = completion("r-1");
-        let head = smol::spawn({
-            let entry = entry.clone();
-            async move { entry.send(&meta).await }
-        });
+        let head = Entry::of(&agent).begin_head(completion("r-1"));
 
         let mut arrived = engine.next().await;
         arrived.begin().token();
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -5,7 +5,7 @@
 
 mod engine;
 
-pub use engine::{Arrived, Engine, Part};
+pub use engine::{token_event, usage_event, Arrived, Engine, Part};
 
 use std::{sync::Arc, time::Duration};
 
@@ -218,6 +218,13 @@
         smol::spawn(async move { entry.dispatch(&meta).await })
     }
 
+    /// Starts a dispatch in the background and waits there for the head of
+    /// its answer.
+    pub fn begin_head(&self, meta: DispatchMeta) -> smol::Task<Conn> {
+        let entry = self.clone();
+        smol::spawn(async move { entry.send(&meta).await })
+    }
+
     pub async fn get(&self, path: &str) -> (u16, String) {
         let conn = self.http.get(format!("http://{}{path}", self.addr));
         let answer = read(soon("an answer", conn).await.expect("the agent answers")).await;
@@ -242,6 +249,13 @@
             .recall
     }
 
+    /// Asks the agent to drain.
+    pub async fn drain(&self) -> bool {
+        let calls = self.calls();
+        let drained = calls.call::<rpc::methods::Drain>(&self.addr, Generation(7), (), PATIENCE);
+        drained.await.is_ok()
+    }
+
     pub async fn status(&self) -> rpc::methods::Status {
         self.calls()
             .call::<rpc::methods::GetStatus>(&self.addr, Generation(7), (), PATIENCE)
@@ -266,30 +280,71 @@
 }
 
 /// Reads an answer to its end, clean or cut.
-pub async fn read(mut conn: Conn) -> Answer {
-    use futures_lite::AsyncReadExt;
-
-    let status = conn.status().map_or(0, |status| status as u16);
-    let header = |name: &'static str| conn.response_headers().get_str(name).map(str::to_string);
-    let reply = header(rpc::REPLY_HEADER).map(|text| serde_json::from_str(&text).unwrap());
-    let upstream_status = header(rpc::UPSTREAM_STATUS_HEADER);
-    let mut body = Vec::new();
-    let is_whole = soon("the end of an answer", async {
-        let mut buffer = [0; 4096];
-        loop {
-            match conn.response_body().read(&mut buffer).await {
-                Ok(0) => return true,
-                Ok(count) => body.extend_from_slice(&buffer[..count]),
-                Err(_) => return false,
+pub async fn read(conn: Conn) -> Answer {
+    Reading::of(conn).until_end().await
+}
+
+/// An answer that is being read.
+pub struct Reading {
+    conn: Conn,
+    body: Vec<u8>,
+}
+
+impl Reading {
+    pub fn of(conn: Conn) -> Self {
+        Self {
+            conn,
+            body: Vec::new(),
+        }
+    }
+
+    /// Reads until `count` tokens have come.
+    pub async fn until_token(mut self, count: usize) -> Self {
+        while events(&String::from_utf8_lossy(&self.body)).len() < count {
+            let more = self.more().await;
+            assert_eq!(more, Some(true), "the answer ended early");
+        }
+        self
+    }
+
+    /// Reads to the end, clean or cut.
+    pub async fn until_end(mut self) -> Answer {
+        let is_whole = loop {
+            match self.more().await {
+                Some(true) => {}
+                Some(false) => break true,
+                None => break false,
             }
+        };
+        let header = |name: &'static str| {
+            let headers = self.conn.response_headers();
+            headers.get_str(name).map(str::to_string)
+        };
+        Answer {
+            status: self.conn.status().map_or(0, |status| status as u16),
+            reply: header(rpc::REPLY_HEADER).map(|text| serde_json::from_str(&text).unwrap()),
+            upstream_status: header(rpc::UPSTREAM_STATUS_HEADER),
+            body: String::from_utf8(self.body).unwrap(),
+            is_whole,
         }
-    })
-    .await;
-    Answer {
-        status,
-        reply,
-        upstream_status,
-        body: String::from_utf8(body).unwrap(),
-        is_whole,
     }
+
+    /// Whether more bytes came; `None` when the answer was cut.
+    async fn more(&mut self) -> Option<bool> {
+        use futures_lite::AsyncReadExt;
+
+        let mut buffer = [0; 4096];
+        let mut body = self.conn.response_body();
+        let count = soon("more of an answer", body.read(&mut buffer))
+            .await
+            .ok()?;
+        self.body.extend_from_slice(&buffer[..count]);
+        Some(count > 0)
+    }
+}
+
+/// Hangs up in the middle of an answer.
+pub fn hang_up(mut conn: Conn) {
+    conn.request_headers_mut().insert("connection", "close");
+    drop(conn);
 }
