Entry: failed attempts, resumption, recalls, drain, and bounds on heads

Cause found on the way: when a streamed body fails, the HTTP server throws away what it has buffered, so an error event written in the same turn never left. The body now stays pending once before it fails, which flushes it. Seen red before: four streamed cases of a_faulty_stream_ends_visibly_broken (the caller got a closed connection and no status).

The HTTP library hands on complete heads only, so a caller that never completes one was held for ever (a_half_sent_head_times_out red, 30 s); a guard on the connection now answers 408 or 431 itself.

--- a/crates/entry/src/answer/stream.rs
+++ b/crates/entry/src/answer/stream.rs
@@ -20,6 +20,7 @@
     relay: Relay,
     error_event: Option<Vec<u8>>,
     told: usize,
+    flushed: bool,
 }
 
 impl StreamBody {
@@ -28,12 +29,24 @@
             relay,
             error_event: None,
             told: 0,
+            flushed: false,
         }
     }
 
-    fn poll_error_event(&mut self, buf: &mut [u8]) -> Option<Poll<io::Result<usize>>> {
+    fn poll_error_event(
+        &mut self,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Option<Poll<io::Result<usize>>> {
         let event = self.error_event.as_ref()?;
         let rest = &event[self.told..];
+        if rest.is_empty() && !self.flushed {
+            // The server writes out what it has while a body is pending, and
+            // throws it away when the body fails.
+            self.flushed = true;
+            cx.waker().wake_by_ref();
+            return Some(Poll::Pending);
+        }
         if rest.is_empty() {
             return Some(Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into())));
         }
@@ -50,7 +63,7 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        if let Some(told) = self.poll_error_event(buf) {
+        if let Some(told) = self.poll_error_event(cx, buf) {
             return told;
         }
         match self.relay.poll_events(cx, buf) {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod chat;
 mod failure;
 mod filters;
+mod head_guard;
 mod lifecycle;
 mod models;
 mod operator;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -10,7 +10,7 @@
 use trillium_server_common::ServerHandle;
 use trillium_smol::async_net::TcpListener;
 
-use crate::{app::App, operator, routes, RunError, Settings};
+use crate::{app::App, head_guard::HeadGuard, operator, routes, RunError, Settings};
 
 /// Largest request head that is read at all, in bytes. Heads between the
 /// callers' bound and this one get a clear answer.
@@ -66,8 +66,13 @@
     let (operator_socket, operator_addr) = bind(settings.operator_listen)?;
     let app = Arc::new(App::new(settings, parts));
     let drain = DrainHandle { app: app.clone() };
-    let callers = spawn(callers_socket, callers_handler(app.clone()));
-    let operator = spawn(operator_socket, operator::handler(app.clone(), drain));
+    let guard = HeadGuard::new(app.settings.request_timeout);
+    let callers = spawn(callers_socket, guard, callers_handler(app.clone()));
+    let operator = spawn(
+        operator_socket,
+        guard,
+        operator::handler(app.clone(), drain),
+    );
     emit(&EntryEvent::Listening {
         instance: app.settings.instance.clone(),
         addr: addr.to_string(),
@@ -124,11 +129,12 @@
     Ok((socket, bound))
 }
 
-fn spawn(socket: TcpListener, handler: impl Handler) -> ServerHandle {
+fn spawn(socket: TcpListener, guard: HeadGuard, handler: impl Handler) -> ServerHandle {
     trillium_smol::config()
         .with_prebound_server(socket)
         .without_signals()
         .with_nodelay()
+        .with_acceptor(guard)
         .with_http_config(HttpConfig::default().with_head_max_len(HEAD_MAX_BYTES))
         .spawn(handler)
 }
--- /dev/null
+++ b/crates/entry/tests/attempts.rs
@@ -0,0 +1,274 @@
+//! Failed attempts: what is tried elsewhere, what the caller is told.
+
+mod support;
+
+use rpc::DispatchMeta;
+use rstest::rstest;
+use support::{
+    agent, answered, bench, chat_body, error_of, indices, run, streamed, Bench, FakeAgent, Piece,
+    Reaction,
+};
+use types::{ErrorCode, Verdict};
+
+/// Two agents of an upstream; the first dispatch to any of them meets `reaction`.
+async fn two_agents(upstream: &str, reaction: Reaction) -> (Vec<FakeAgent>, Bench) {
+    let agents = FakeAgent::group(2, vec![reaction]).await;
+    let instances = agents.iter().map(|one| one.instance(upstream)).collect();
+    let bench = bench(instances).await;
+    (agents, bench)
+}
+
+fn dispatches(agents: &[FakeAgent]) -> Vec<DispatchMeta> {
+    let all = agents.iter().flat_map(|one| one.dispatches());
+    all.map(|(meta, _body)| meta).collect()
+}
+
+#[rstest]
+#[case::queue_full(ErrorCode::QueueFull)]
+#[case::draining(ErrorCode::Draining)]
+#[case::displaced(ErrorCode::Displaced)]
+fn a_refusal_goes_elsewhere(#[case] code: ErrorCode) {
+    run(async {
+        let refusing = FakeAgent::start("a-1", vec![Reaction::Refuse(code, Verdict::NotRun); 9]);
+        let refusing = refusing.await;
+        let taking = FakeAgent::start("a-2", vec![]).await;
+        let instances = vec![refusing.instance("carving"), taking.instance("carving")];
+        let bench = bench(instances).await;
+
+        for _ in 0..8 {
+            let (status, text, clean) = streamed(bench.chat(true)).await;
+
+            assert_eq!((status, clean), (200, true), "{text}");
+        }
+        assert_eq!(taking.dispatches().len(), 8);
+    });
+}
+
+#[rstest]
+fn an_unreachable_instance_is_not_run_and_goes_elsewhere() {
+    run(async {
+        let taking = FakeAgent::start("a-2", vec![]).await;
+        let gone = support::instance("a-1", "carving", "127.0.0.1:1");
+        let bench = bench(vec![gone, taking.instance("carving")]).await;
+
+        for _ in 0..6 {
+            assert_eq!(answered(bench.chat(false)).await.0, 200);
+        }
+    });
+}
+
+#[rstest]
+#[case::queue_full(
+    Reaction::Refuse(ErrorCode::QueueFull, Verdict::NotRun),
+    429,
+    "queue_full",
+    "not_run"
+)]
+#[case::failed(
+    Reaction::Refuse(ErrorCode::UpstreamFailed, Verdict::MayHaveRun),
+    502,
+    "upstream_failed",
+    "may_have_run"
+)]
+#[case::garbage(Reaction::Garbage, 502, "upstream_failed", "may_have_run")]
+fn a_lone_failure_keeps_its_verdict(
+    #[case] reaction: Reaction,
+    #[case] status: u16,
+    #[case] code: &str,
+    #[case] verdict: &str,
+) {
+    run(async {
+        let agent = FakeAgent::start("a-1", vec![reaction]).await;
+        let bench = bench(vec![agent.instance("carving")]).await;
+
+        let (told_status, body) = answered(bench.chat(false)).await;
+
+        assert_eq!(told_status, status, "{body}");
+        assert_eq!(error_of(&body), (code.to_owned(), verdict.to_owned()));
+    });
+}
+
+/// After one attempt that may have run, a second one's "not run" must not
+/// become the verdict of the whole.
+#[rstest]
+fn an_unsure_attempt_is_never_forgotten() {
+    run(async {
+        let unsure = Reaction::Refuse(ErrorCode::UpstreamFailed, Verdict::MayHaveRun);
+        let full = Reaction::Refuse(ErrorCode::QueueFull, Verdict::NotRun);
+        let agents = FakeAgent::group(2, vec![unsure, full]).await;
+        let instances = agents.iter().map(|one| one.instance("carving")).collect();
+        let bench = bench(instances).await;
+
+        let (_, body) = answered(bench.chat(false)).await;
+
+        assert_eq!(dispatches(&agents).len(), 2);
+        assert_eq!(error_of(&body).1, "may_have_run", "{body}");
+    });
+}
+
+#[rstest]
+#[case::may_have_run(Reaction::Refuse(ErrorCode::UpstreamFailed, Verdict::MayHaveRun))]
+#[case::garbage(Reaction::Garbage)]
+#[case::cut(Reaction::Answer(vec![Piece::Cut]))]
+fn a_repeatable_request_is_tried_again(#[case] reaction: Reaction) {
+    run(async {
+        let (agents, bench) = two_agents("carving", reaction).await;
+
+        let (status, body) = answered(bench.chat(false)).await;
+
+        assert_eq!(status, 200, "{body}");
+        let attempts: Vec<_> = dispatches(&agents).iter().map(|one| one.attempt).collect();
+        assert_eq!(attempts.len(), 2);
+    });
+}
+
+#[rstest]
+fn retries_stay_within_the_budget_when_all_fail() {
+    run(async {
+        let failing =
+            || vec![Reaction::Refuse(ErrorCode::UpstreamFailed, Verdict::MayHaveRun); 999];
+        let agents = [
+            FakeAgent::start("a-1", failing()).await,
+            FakeAgent::start("a-2", failing()).await,
+            FakeAgent::start("a-3", failing()).await,
+        ];
+        let instances = agents.iter().map(|one| one.instance("carving")).collect();
+        let bench = bench(instances).await;
+        const REQUESTS: usize = 300;
+        /// Extra attempts that the budget stores.
+        const BURST: usize = 10;
+
+        for _ in 0..REQUESTS {
+            answered(bench.chat(false)).await;
+        }
+
+        let attempts: usize = agents.iter().map(|one| one.dispatches().len()).sum();
+        assert!(
+            attempts <= REQUESTS * 11 / 10 + BURST,
+            "{attempts} attempts"
+        );
+    });
+}
+
+#[rstest]
+#[case::streamed(true)]
+#[case::whole(false)]
+fn a_cut_stream_is_resumed_at_the_next_token(#[case] stream: bool) {
+    run(async {
+        // The cut falls inside the event of token 3.
+        let mut pieces = agent::tokens("req-1", 0, 3);
+        let half = agent::token("req-1", 3)[..20].to_vec();
+        pieces.extend([Piece::Bytes(half), Piece::WaitMs(20), Piece::Cut]);
+        let (agents, bench) = two_agents("carving", Reaction::Answer(pieces)).await;
+        let conn = bench
+            .chat(stream)
+            .with_request_header("x-request-id", "req-1");
+
+        if stream {
+            let (_, text, clean) = streamed(conn).await;
+            assert!(clean, "{text}");
+            assert_eq!(indices(&text), (0..8).collect::<Vec<_>>());
+            assert_eq!(text.matches("[DONE]").count(), 1);
+        } else {
+            let (status, answer) = answered(conn).await;
+            assert_eq!(status, 200, "{answer}");
+            let content: String = (0..8).map(|index| format!("w{index} ")).collect();
+            assert_eq!(answer["choices"][0]["message"]["content"], content.as_str());
+        }
+        let mut resumed: Vec<_> = dispatches(&agents)
+            .iter()
+            .map(|meta| meta.resume_from)
+            .collect();
+        resumed.sort_unstable();
+        assert_eq!(resumed, [0, 3]);
+    });
+}
+
+#[rstest]
+#[case::after_the_last_token(agent::tokens("r", 0, 8))]
+#[case::before_the_terminator({
+    let mut pieces = agent::tokens("r", 0, 8);
+    let ending = agent::ending("r", 8);
+    pieces.push(Piece::Bytes(ending[..ending.len() - 14].to_vec()));
+    pieces
+})]
+fn an_ending_is_delivered_once(#[case] mut pieces: Vec<Piece>) {
+    run(async {
+        pieces.extend([Piece::WaitMs(20), Piece::Cut]);
+        let (agents, bench) = two_agents("carving", Reaction::Answer(pieces)).await;
+
+        let (_, text, clean) = streamed(bench.chat(true)).await;
+
+        assert!(clean, "{text}");
+        assert_eq!(indices(&text), (0..8).collect::<Vec<_>>());
+        assert_eq!(text.matches("finish_reason\":\"stop").count(), 1);
+        assert_eq!(text.matches("[DONE]").count(), 1);
+        assert_eq!(dispatches(&agents).len(), 2);
+    });
+}
+
+/// A clean end without the terminator, tokens out of order, and a second
+/// answer after the first must never look whole.
+#[rstest]
+#[case::no_terminator(agent::tokens("r", 0, 3))]
+#[case::missing_token({
+    let mut pieces = agent::tokens("r", 0, 3);
+    pieces.extend(agent::whole("r", 4, 8));
+    pieces
+})]
+#[case::doubled_token({
+    let mut pieces = agent::tokens("r", 0, 3);
+    pieces.extend(agent::whole("r", 2, 8));
+    pieces
+})]
+#[case::two_answers({
+    let mut pieces = agent::whole("r", 0, 3);
+    pieces.extend(agent::whole("r", 0, 3));
+    pieces
+})]
+#[case::cut({
+    let mut pieces = agent::tokens("r", 0, 3);
+    pieces.push(Piece::Cut);
+    pieces
+})]
+fn a_faulty_stream_ends_visibly_broken(
+    #[case] pieces: Vec<Piece>,
+    #[values(true, false)] stream: bool,
+) {
+    run(async {
+        let agent = FakeAgent::start("a-1", vec![Reaction::Answer(pieces)]).await;
+        let bench = bench(vec![agent.instance("carving")]).await;
+
+        if stream {
+            let (status, text, clean) = streamed(bench.chat(true)).await;
+            assert_eq!(status, 200);
+            assert!(!clean, "{text}");
+            assert_eq!(indices(&text), (0..3).collect::<Vec<_>>());
+            assert!(!text.contains("[DONE]"), "{text}");
+            let last = text.trim_end().rsplit("\n\n").next().unwrap();
+            let body = serde_json::from_str(last.strip_prefix("data: ").unwrap()).unwrap();
+            assert_eq!(error_of(&body).1, "may_have_run");
+        } else {
+            let (status, body) = answered(bench.chat(false)).await;
+            assert_eq!(status, 502, "{body}");
+            assert_eq!(error_of(&body).1, "may_have_run");
+        }
+    });
+}
+
+#[rstest]
+fn a_request_that_must_not_repeat_is_not_resumed() {
+    run(async {
+        let mut pieces = agent::tokens("r", 0, 3);
+        pieces.push(Piece::Cut);
+        let (agents, bench) = two_agents("carving-once", Reaction::Answer(pieces)).await;
+        let conn = bench
+            .post("/v1/chat/completions", chat_body("m-once", true))
+            .with_request_header("idempotency-key", "k-1");
+
+        let (_, text, clean) = streamed(conn).await;
+
+        assert!(!clean || text.contains("may_have_run"), "{text}");
+        assert_eq!(dispatches(&agents).len(), 1);
+    });
+}
--- a/crates/entry/tests/support/agent.rs
+++ b/crates/entry/tests/support/agent.rs
@@ -48,9 +48,12 @@
     Hang,
 }
 
+/// Reactions to the next dispatches, in order.
+type Script = Arc<Mutex<VecDeque<Reaction>>>;
+
 #[derive(Default)]
 struct State {
-    reactions: VecDeque<Reaction>,
+    reactions: Script,
     dispatches: Vec<(DispatchMeta, Vec<u8>)>,
     recalls: Vec<String>,
     recall: Option<Recall>,
@@ -68,8 +71,23 @@
 
 impl FakeAgent {
     pub async fn start(name: &str, reactions: Vec<Reaction>) -> Self {
+        Self::start_with(name, Arc::new(Mutex::new(reactions.into()))).await
+    }
+
+    /// Starts `count` agents that follow one script: its first reaction meets
+    /// the first dispatch to any of them.
+    pub async fn group(count: usize, reactions: Vec<Reaction>) -> Vec<Self> {
+        let script: Script = Arc::new(Mutex::new(reactions.into()));
+        let mut agents = Vec::new();
+        for number in 1..=count {
+            agents.push(Self::start_with(&format!("a-{number}"), script.clone()).await);
+        }
+        agents
+    }
+
+    async fn start_with(name: &str, reactions: Script) -> Self {
         let state = Arc::new(Mutex::new(State {
-            reactions: reactions.into(),
+            reactions,
             recall: Some(Recall::Recalled),
             ..State::default()
         }));
@@ -190,7 +208,7 @@
     let (reaction, leaving) = {
         let mut state = state.lock().unwrap();
         state.dispatches.push((meta, body));
-        let reaction = state.reactions.pop_front();
+        let reaction = state.reactions.lock().unwrap().pop_front();
         let whole = || Reaction::Answer(whole(&request_id, resume_from, 8));
         (reaction.unwrap_or_else(whole), state.leaving)
     };
@@ -272,6 +290,7 @@
     wait: Option<smol::Timer>,
     state: Arc<Mutex<State>>,
     ended: bool,
+    flushed: bool,
 }
 
 impl Pieces {
@@ -281,6 +300,7 @@
             wait: None,
             state,
             ended: false,
+            flushed: false,
         }
     }
 }
@@ -323,6 +343,13 @@
                 Some(Piece::WaitMs(wait_ms)) => {
                     self.wait = Some(smol::Timer::after(Duration::from_millis(wait_ms)));
                 }
+                Some(Piece::Cut) if !self.flushed => {
+                    // What was written before the cut reaches the entry.
+                    self.flushed = true;
+                    self.left.push_front(Piece::Cut);
+                    cx.waker().wake_by_ref();
+                    return Poll::Pending;
+                }
                 Some(Piece::Cut) => {
                     self.ended = true;
                     return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! A fake agent, a fake store and an entry in front of them.
 
-#![allow(dead_code, missing_docs, unreachable_pub)]
+#![allow(dead_code, missing_docs, unreachable_pub, unused_imports)]
 
 pub mod agent;
 pub mod store;
--- /dev/null
+++ b/crates/entry/tests/time.rs
@@ -0,0 +1,213 @@
+//! Deadlines, silent agents, callers that hang up, and draining.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use policy::schedule::Recall;
+use rstest::rstest;
+use smol::{io::AsyncWriteExt, net::TcpStream, Timer};
+use support::{
+    agent, answered, bench, chat_body, error_of, indices, run, streamed, FakeAgent, Piece,
+    Reaction, API_KEY,
+};
+
+/// Waits until a condition holds; fails after some seconds.
+async fn eventually(what: &str, condition: impl Fn() -> bool) {
+    let started = Instant::now();
+    while !condition() {
+        assert!(started.elapsed() < Duration::from_secs(10), "{what}");
+        Timer::after(Duration::from_millis(10)).await;
+    }
+}
+
+#[rstest]
+#[case::recalled(Some(Recall::Recalled), "not_run")]
+#[case::started(Some(Recall::AlreadyStarted), "may_have_run")]
+#[case::no_answer(None, "may_have_run")]
+fn past_the_deadline_the_caller_is_told_what_the_recall_said(
+    #[case] recall: Option<Recall>,
+    #[case] verdict: &str,
+) {
+    run(async {
+        let agent = FakeAgent::start("a-1", vec![Reaction::Silent]).await;
+        agent.answer_recalls(recall);
+        let bench = bench(vec![agent.instance("carving")]).await;
+        let conn = bench
+            .chat(false)
+            .with_request_header("limpetgw-class", "hurried")
+            .with_request_header("x-request-id", "req-3");
+
+        let (status, body) = answered(conn).await;
+
+        assert_eq!(status, 504, "{body}");
+        let expected = ("deadline_exceeded".to_owned(), verdict.to_owned());
+        assert_eq!(error_of(&body), expected);
+        assert_eq!(agent.recalls().first().map(String::as_str), Some("req-3"));
+    });
+}
+
+#[rstest]
+fn a_stream_past_its_deadline_ends_visibly_broken() {
+    run(async {
+        let mut pieces = agent::tokens("r", 0, 2);
+        pieces.push(Piece::Hang);
+        let agent = FakeAgent::start("a-1", vec![Reaction::Answer(pieces)]).await;
+        let bench = bench(vec![agent.instance("carving")]).await;
+        let conn = bench
+            .chat(true)
+            .with_request_header("limpetgw-class", "hurried");
+
+        let (_, text, clean) = streamed(conn).await;
+
+        assert!(!clean, "{text}");
+        assert!(text.contains("deadline_exceeded"), "{text}");
+        eventually("the upstream work is cancelled", || {
+            !agent.recalls().is_empty()
+        })
+        .await;
+    });
+}
+
+#[rstest]
+#[case::before_the_head(Reaction::Silent)]
+#[case::in_the_stream({
+    let mut pieces = agent::tokens("r", 0, 2);
+    pieces.push(Piece::Hang);
+    Reaction::Answer(pieces)
+})]
+fn a_silent_agent_is_left_for_another(#[case] reaction: Reaction) {
+    run(async {
+        let frozen = FakeAgent::start("a-1", vec![reaction]).await;
+        frozen.freeze_calls();
+        frozen.answer_recalls(None);
+        let first = bench(vec![frozen.instance("carving")]).await;
+        let other = FakeAgent::start("a-2", vec![]).await;
+        drop(first);
+        let bench = bench(vec![frozen.instance("carving"), other.instance("carving")]).await;
+
+        let mut met_frozen = false;
+        for _ in 0..12 {
+            let (status, text, clean) = streamed(bench.chat(true)).await;
+            assert_eq!((status, clean), (200, true), "{text}");
+            assert_eq!(indices(&text), (0..8).collect::<Vec<_>>());
+            met_frozen |= !frozen.dispatches().is_empty();
+            if met_frozen {
+                break;
+            }
+        }
+        assert!(met_frozen);
+    });
+}
+
+#[rstest]
+fn a_slow_agent_that_lives_is_waited_for() {
+    run(async {
+        let mut pieces = vec![Piece::WaitMs(2_600)];
+        pieces.extend(agent::whole("r", 0, 8));
+        let slow = FakeAgent::start("a-1", vec![Reaction::Answer(pieces)]).await;
+        let bench = bench(vec![slow.instance("carving")]).await;
+
+        let (_, text, clean) = streamed(bench.chat(true)).await;
+
+        assert!(clean, "{text}");
+        assert_eq!(slow.dispatches().len(), 1);
+    });
+}
+
+#[rstest]
+#[case::before_the_head(Reaction::Silent, false)]
+#[case::while_assembling({
+    let mut pieces = agent::tokens("r", 0, 2);
+    pieces.push(Piece::Hang);
+    Reaction::Answer(pieces)
+}, false)]
+#[case::in_the_stream({
+    let mut pieces = Vec::new();
+    for index in 0..400 {
+        pieces.push(Piece::Bytes(agent::token("r", index)));
+        pieces.push(Piece::WaitMs(10));
+    }
+    Reaction::Answer(pieces)
+}, true)]
+fn a_caller_that_hangs_up_cancels_the_work(#[case] reaction: Reaction, #[case] stream: bool) {
+    run(async {
+        let agent = FakeAgent::start("a-1", vec![reaction]).await;
+        let bench = bench(vec![agent.instance("carving")]).await;
+        let body = chat_body("m", stream);
+        let head = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nx-request-id: req-5\r\nauthorization: Bearer {API_KEY}\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let mut caller = TcpStream::connect(bench.running.addr).await.unwrap();
+        caller.write_all(head.as_bytes()).await.unwrap();
+        eventually("the dispatch arrives", || !agent.dispatches().is_empty()).await;
+        Timer::after(Duration::from_millis(50)).await;
+
+        drop(caller);
+
+        eventually("the work is cancelled", || {
+            agent.recalls().contains(&"req-5".to_owned())
+        })
+        .await;
+    });
+}
+
+#[rstest]
+fn a_drain_cuts_off_nothing_and_ends() {
+    run(async {
+        let mut pieces = Vec::new();
+        for index in 0..8 {
+            pieces.push(Piece::Bytes(agent::token("r", index)));
+            pieces.push(Piece::WaitMs(100));
+        }
+        pieces.push(Piece::Bytes(agent::ending("r", 8)));
+        let agent = FakeAgent::start("a-1", vec![Reaction::Answer(pieces)]).await;
+        let bench = bench(vec![agent.instance("carving")]).await;
+        let drain = bench.running.drain_handle();
+        let in_flight = bench.chat(true).await.unwrap();
+
+        drain.drain();
+
+        // The balancer still sends requests: they are served.
+        assert_eq!(answered(bench.get("/readyz")).await.0, 503);
+        assert_eq!(answered(bench.get_operator("/readyz")).await.0, 503);
+        assert_eq!(answered(bench.chat(false)).await.0, 200);
+        let late = bench.chat(false);
+        let after_lag = bench.chat(false);
+        let finished = bench.running.finished();
+        let watched = async {
+            Timer::after(Duration::from_millis(50)).await;
+            assert_eq!(answered(late).await.0, 200);
+            Timer::after(Duration::from_millis(350)).await;
+            let (status, body) = answered(after_lag).await;
+            assert_eq!(status, 503, "{body}");
+            let expected = ("draining".to_owned(), "not_run".to_owned());
+            assert_eq!(error_of(&body), expected);
+            streamed_rest(in_flight).await
+        };
+        let (text, ()) = futures_lite::future::zip(watched, finished).await;
+        assert_eq!(indices(&text), (0..8).collect::<Vec<_>>());
+        assert!(text.ends_with("data: [DONE]\n\n"));
+    });
+}
+
+async fn streamed_rest(mut conn: trillium_client::Conn) -> String {
+    conn.response_body().read_string().await.unwrap()
+}
+
+#[rstest]
+fn an_operators_drain_starts_the_shutdown() {
+    run(async {
+        let bench = bench(vec![]).await;
+        let addr = bench.running.operator_addr.to_string();
+        let operator = rpc::Client::new("operator".into(), support::secrets());
+
+        let answered = operator
+            .call::<rpc::methods::Drain>(&addr, types::Generation(1), (), Duration::from_secs(5))
+            .await;
+
+        assert!(answered.is_ok());
+        bench.running.finished().await;
+    });
+}
