Check documents and shards: every error at once, digests, rising generations

Parsing is done item by item and field by field, so that one error does not hide others; a reference to an item that can't be read is no second error.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,6 +6,7 @@
 mod canonical;
 mod document;
 mod head;
+mod key_index;
 mod shards;
 mod snapshot;
 mod validate;
--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -1,11 +1,9 @@
 //! A configuration in force, indexed for the request path.
 
-use std::sync::Arc;
-
 use indexmap::IndexMap;
 use types::{Generation, ModelName, TeamName, UpstreamName};
 
-use crate::Document;
+use crate::{key_index::KeyIndex, Document};
 
 /// A validated document with its generation and look-up tables.
 ///
@@ -19,37 +17,32 @@
     pub generation: Generation,
     /// The document.
     pub document: Document,
-    teams_by_digest: IndexMap<Arc<str>, TeamName>,
+    teams_by_key: KeyIndex,
     upstreams_by_model: IndexMap<ModelName, UpstreamName>,
 }
 
 impl Snapshot {
     /// Indexes a validated document.
     pub fn new(generation: Generation, document: Document) -> Self {
-        let mut teams_by_digest = IndexMap::new();
-        for (name, team) in &document.teams {
-            for digest in &team.key_digests {
-                teams_by_digest.insert(digest.as_str().into(), name.clone());
-            }
-        }
         let mut upstreams_by_model = IndexMap::new();
         for (name, upstream) in &document.upstreams {
             for model in &upstream.models {
                 upstreams_by_model.insert(model.clone(), name.clone());
             }
         }
+        let teams_by_key = KeyIndex::new(&document);
         Self {
             generation,
             document,
-            teams_by_digest,
+            teams_by_key,
             upstreams_by_model,
         }
     }
 
-    /// The team that an API key belongs to. Only digests are compared, so the
-    /// time taken tells nothing about a stored key.
+    /// The team that an API key belongs to. Only digests are compared, and in
+    /// constant time.
     pub fn team_of_key(&self, api_key: &str) -> Option<&TeamName> {
-        self.teams_by_digest.get(key_digest(api_key).as_str())
+        self.teams_by_key.team_of(api_key)
     }
 
     /// The upstream that serves a model.
--- a/crates/config/src/validate/mod.rs
+++ b/crates/config/src/validate/mod.rs
@@ -8,6 +8,7 @@
 
 use std::fmt;
 
+use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 
 use crate::Document;
@@ -65,10 +66,11 @@
     ///
     /// [`Invalid`] with every error in the text.
     pub fn parse(text: &str) -> Result<Document, Invalid> {
-        let (document, mut errors) = parse::parse(text);
-        rules::check(&document, &mut errors);
+        let parsed = parse::parse(text);
+        let mut errors = parsed.issues;
+        rules::check(&parsed.document, &parsed.unreadable, &mut errors);
         if errors.is_empty() {
-            return Ok(document);
+            return Ok(parsed.document);
         }
         Err(Invalid { errors })
     }
@@ -80,7 +82,7 @@
     /// [`Invalid`] with every rule that is broken.
     pub fn validate(&self) -> Result<(), Invalid> {
         let mut errors = Vec::new();
-        rules::check(self, &mut errors);
+        rules::check(self, &IndexSet::new(), &mut errors);
         if errors.is_empty() {
             return Ok(());
         }
--- a/crates/config/src/validate/parse.rs
+++ b/crates/config/src/validate/parse.rs
@@ -3,7 +3,7 @@
 
 use std::hash::Hash;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::de::DeserializeOwned;
 use serde_json::{json, Map, Value};
 
@@ -12,52 +12,61 @@
 
 const SECTIONS: [&str; 5] = ["classes", "teams", "upstreams", "services", "limits"];
 
+/// What was read of a text.
+#[derive(Default)]
+pub(super) struct Parsed {
+    /// The readable items.
+    pub(super) document: Document,
+    /// Why the others are not.
+    pub(super) issues: Vec<Issue>,
+    /// Paths of the items that could not be read, as `classes.urgent`.
+    pub(super) unreadable: IndexSet<String>,
+}
+
 /// Reads what can be read of a document and lists what can't.
-pub(super) fn parse(text: &str) -> (Document, Vec<Issue>) {
-    let mut issues = Vec::new();
-    let document = match serde_json::from_str::<Value>(text) {
-        Ok(Value::Object(sections)) => read_sections(sections, &mut issues),
+pub(super) fn parse(text: &str) -> Parsed {
+    let mut parsed = Parsed::default();
+    match serde_json::from_str::<Value>(text) {
+        Ok(Value::Object(sections)) => read_sections(sections, &mut parsed),
         Ok(other) => {
             let rule = format!("a JSON object with the sections {}", SECTIONS.join(", "));
-            issues.push(Issue::new("document", other, rule));
-            Document::default()
+            parsed.issues.push(Issue::new("document", other, rule));
         }
         Err(error) => {
-            issues.push(Issue::new("document", "", format!("JSON text ({error})")));
-            Document::default()
+            let rule = format!("JSON text ({error})");
+            parsed.issues.push(Issue::new("document", "", rule));
         }
-    };
-    (document, issues)
+    }
+    parsed
 }
 
-fn read_sections(mut sections: Map<String, Value>, issues: &mut Vec<Issue>) -> Document {
+fn read_sections(mut sections: Map<String, Value>, parsed: &mut Parsed) {
     let mut take = |name: &str| sections.remove(name);
     let class =
         json!({"priority": 1, "first_token_target_ms": 1, "deadline_ms": 1, "queue_limit": 1});
     let team = json!({"key_digests": [], "classes": []});
     let upstream = json!({"kind": "engine"});
     let service = json!({"upstream": "x"});
-    let document = Document {
-        classes: read_map::<_, Class>("classes", take("classes"), &class, issues),
-        teams: read_map::<_, Team>("teams", take("teams"), &team, issues),
-        upstreams: read_map::<_, Upstream>("upstreams", take("upstreams"), &upstream, issues),
-        services: read_map::<_, Service>("services", take("services"), &service, issues),
+    parsed.document = Document {
+        classes: read_map::<_, Class>("classes", take("classes"), &class, parsed),
+        teams: read_map::<_, Team>("teams", take("teams"), &team, parsed),
+        upstreams: read_map::<_, Upstream>("upstreams", take("upstreams"), &upstream, parsed),
+        services: read_map::<_, Service>("services", take("services"), &service, parsed),
         limits: take("limits")
-            .and_then(|value| read_item::<CallerLimits>("limits", value, &json!({}), issues))
+            .and_then(|value| read_item::<CallerLimits>("limits", value, &json!({}), parsed))
             .unwrap_or_default(),
     };
     for (name, value) in sections {
         let rule = format!("no such section; there are {}", SECTIONS.join(", "));
-        issues.push(Issue::new(name, value, rule));
+        parsed.issues.push(Issue::new(name, value, rule));
     }
-    document
 }
 
 fn read_map<K, T>(
     section: &str,
     value: Option<Value>,
     template: &Value,
-    issues: &mut Vec<Issue>,
+    parsed: &mut Parsed,
 ) -> IndexMap<K, T>
 where
     K: From<String> + Hash + Eq,
@@ -67,14 +76,15 @@
         None => return IndexMap::new(),
         Some(Value::Object(items)) => items,
         Some(other) => {
-            issues.push(Issue::new(section, other, "an object of items by name"));
+            let rule = "an object of items by name";
+            parsed.issues.push(Issue::new(section, other, rule));
             return IndexMap::new();
         }
     };
     let mut read = IndexMap::new();
     for (name, value) in items {
         let path = format!("{section}.{name}");
-        if let Some(item) = read_item(&path, value, template, issues) {
+        if let Some(item) = read_item(&path, value, template, parsed) {
             read.insert(name.into(), item);
         }
     }
@@ -86,10 +96,11 @@
     path: &str,
     value: Value,
     template: &Value,
-    issues: &mut Vec<Issue>,
+    parsed: &mut Parsed,
 ) -> Option<T> {
     let Ok(item) = serde_json::from_value(value.clone()) else {
-        find_field_issues::<T>(path, &value, template, issues);
+        find_field_issues::<T>(path, &value, template, &mut parsed.issues);
+        parsed.unreadable.insert(path.to_string());
         return None;
     };
     Some(item)
--- a/crates/config/src/validate/rules.rs
+++ b/crates/config/src/validate/rules.rs
@@ -4,6 +4,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use serde::Serialize;
+use types::{RouteName, TeamName};
 
 use super::Issue;
 use crate::{Class, Document, Service, Team, Upstream, UpstreamKind};
@@ -17,14 +18,16 @@
 /// Bound of the sum of all classes' minimum shares, in thousandths.
 pub(crate) const MIN_SHARE_SUM_MAX_PERMILLE: u32 = 500;
 
-/// Checks every rule and lists those that are broken.
-pub(super) fn check(document: &Document, issues: &mut Vec<Issue>) {
+/// Checks every rule and lists those that are broken. A reference to an item
+/// at one of the `unreadable` paths is no error of its own.
+pub(super) fn check(document: &Document, unreadable: &IndexSet<String>, issues: &mut Vec<Issue>) {
     for (name, class) in &document.classes {
         check_class(name.as_str(), class, issues);
     }
     check_class_relations(document, issues);
     for (name, team) in &document.teams {
-        check_team(document, name.as_str(), team, issues);
+        check_team(name.as_str(), team, issues);
+        check_team_classes(document, unreadable, name, team, issues);
     }
     check_unique_digests(document, issues);
     for (name, upstream) in &document.upstreams {
@@ -32,7 +35,8 @@
     }
     check_unique_models(document, issues);
     for (name, service) in &document.services {
-        check_service(document, name.as_str(), service, issues);
+        check_service(name.as_str(), service, issues);
+        check_service_upstream(document, unreadable, name, service, issues);
     }
     check_limits(document, issues);
 }
@@ -124,7 +128,7 @@
     }
 }
 
-fn check_team(document: &Document, name: &str, team: &Team, issues: &mut Vec<Issue>) {
+fn check_team(name: &str, team: &Team, issues: &mut Vec<Issue>) {
     let path = format!("teams.{name}");
     check_name(&path, name, issues);
     check_range(
@@ -138,12 +142,6 @@
         issues.push(Issue::new(&classes, &team.classes, "at least one class"));
     }
     check_unique(&classes, &team.classes, issues);
-    for class in &team.classes {
-        if !document.classes.contains_key(class) {
-            let rule = format!("an existing class: {}", joined(document.classes.keys()));
-            issues.push(Issue::new(&classes, class, rule));
-        }
-    }
     for digest in &team.key_digests {
         let is_hex = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
         if digest.len() != DIGEST_DIGITS || !digest.bytes().all(is_hex) {
@@ -155,6 +153,23 @@
     }
 }
 
+fn check_team_classes(
+    document: &Document,
+    unreadable: &IndexSet<String>,
+    name: &TeamName,
+    team: &Team,
+    issues: &mut Vec<Issue>,
+) {
+    for class in &team.classes {
+        let is_known = document.classes.contains_key(class);
+        if is_known || unreadable.contains(&format!("classes.{class}")) {
+            continue;
+        }
+        let rule = format!("one of the classes [{}]", joined(document.classes.keys()));
+        issues.push(Issue::new(format!("teams.{name}.classes"), class, rule));
+    }
+}
+
 fn check_unique_digests(document: &Document, issues: &mut Vec<Issue>) {
     let mut owners = IndexMap::new();
     for (name, team) in &document.teams {
@@ -230,16 +245,9 @@
     }
 }
 
-fn check_service(document: &Document, name: &str, service: &Service, issues: &mut Vec<Issue>) {
+fn check_service(name: &str, service: &Service, issues: &mut Vec<Issue>) {
     let path = format!("services.{name}");
     check_name(&path, name, issues);
-    let of_kind_service = |upstream: &&Upstream| -> bool { upstream.kind == UpstreamKind::Service };
-    let upstream = document.upstreams.get(&service.upstream);
-    if upstream.filter(of_kind_service).is_none() {
-        let path = format!("{path}.upstream");
-        let rule = "an existing upstream of the kind service";
-        issues.push(Issue::new(path, &service.upstream, rule));
-    }
     let prefixes = format!("{path}.at_most_once_prefixes");
     check_unique(&prefixes, &service.at_most_once_prefixes, issues);
     for prefix in &service.at_most_once_prefixes {
@@ -251,6 +259,25 @@
     }
 }
 
+fn check_service_upstream(
+    document: &Document,
+    unreadable: &IndexSet<String>,
+    name: &RouteName,
+    service: &Service,
+    issues: &mut Vec<Issue>,
+) {
+    let upstream = &service.upstream;
+    if unreadable.contains(&format!("upstreams.{upstream}")) {
+        return;
+    }
+    let kind = document.upstreams.get(upstream).map(|found| found.kind);
+    if kind != Some(UpstreamKind::Service) {
+        let path = format!("services.{name}.upstream");
+        let rule = "an existing upstream of the kind service";
+        issues.push(Issue::new(path, upstream, rule));
+    }
+}
+
 fn check_limits(document: &Document, issues: &mut Vec<Issue>) {
     let limits = &document.limits;
     check_range(
--- /dev/null
+++ b/crates/config/tests/suite/shards.rs
@@ -0,0 +1,164 @@
+//! Documents survive the way through shards, and altered shards are noticed.
+
+use crate::common::{documents, proptest_config, valid, with_teams};
+use config::{
+    canonical_text, from_objects, to_objects, Document, Head, Objects, ObjectsError, SessionEntry,
+    SHARD_MAX_BYTES,
+};
+use proptest::prelude::*;
+use serde_json::json;
+use types::Generation;
+
+fn head_of(objects: &Objects) -> Head {
+    Head::next(None, Generation(0), entry("s-1"), objects.parts.clone())
+}
+
+fn entry(session: &str) -> SessionEntry {
+    SessionEntry {
+        session: session.into(),
+        submitter: "ana".into(),
+        generation: Generation(0),
+        submitted_unix_ms: 0,
+    }
+}
+
+#[test]
+fn the_canonical_text_has_sorted_keys() {
+    let value = serde_json::from_str(r#"{"b": 1, "a": {"d": [2, {"z": 0, "y": 1}], "c": 3}}"#);
+
+    let text = canonical_text(&value.expect("valid JSON"));
+
+    assert_eq!(text, r#"{"a":{"c":3,"d":[2,{"y":1,"z":0}]},"b":1}"#);
+}
+
+#[test]
+fn a_change_to_one_of_many_teams_moves_one_small_shard() {
+    let teams: Vec<String> = (0..13_000).map(|index| format!("team-{index}")).collect();
+    let before = with_teams(&teams, &[500]);
+    let mut after = before.clone();
+    after.teams["team-4711"].weight = 7;
+
+    let (before, after) = (to_objects(&before), to_objects(&after));
+
+    let (before, after) = (before.expect("fits"), after.expect("fits"));
+    let moved: Vec<usize> = after
+        .shards
+        .iter()
+        .filter(|(digest, _)| !before.shards.contains_key(*digest))
+        .map(|(_, text)| text.len())
+        .collect();
+    assert_eq!(moved.len(), 1, "one shard moves");
+    assert!(moved[0] < SHARD_MAX_BYTES / 10, "{} bytes", moved[0]);
+    assert!(head_of(&after).to_value().to_string().len() < 15_000);
+}
+
+#[test]
+fn a_part_that_does_not_fit_an_object_is_refused() {
+    let mut document = Document::parse(&valid().to_string()).expect("valid");
+    let adapter = "a".repeat(120);
+    document.upstreams["carving"].adapters = (0..8_000)
+        .map(|index| format!("{adapter}{index}"))
+        .collect();
+
+    let result = to_objects(&document);
+
+    assert!(matches!(result, Err(ObjectsError::TooLarge { .. })));
+}
+
+#[test]
+fn a_valid_looking_head_over_an_invalid_document_is_refused() {
+    let mut document = Document::parse(&valid().to_string()).expect("valid");
+    document.teams["clinic"].classes.push("nobody".into());
+    let objects = to_objects(&document).expect("fits");
+
+    let result = from_objects(&head_of(&objects), &objects.shards);
+
+    assert!(
+        matches!(result, Err(ObjectsError::Invalid(_))),
+        "{result:?}"
+    );
+}
+
+proptest! {
+    #![proptest_config(proptest_config(64))]
+
+    /// A document comes back equal, whatever order its items were written in.
+    #[test]
+    fn documents_survive_the_round_trip(document in documents()) {
+        let objects = to_objects(&document).expect("fits");
+        let mut reversed = document.clone();
+        reversed.teams.reverse();
+        reversed.classes.reverse();
+
+        let back = from_objects(&head_of(&objects), &objects.shards).expect("valid");
+
+        prop_assert_eq!(&back, &document);
+        prop_assert_eq!(to_objects(&reversed).expect("fits").parts, objects.parts);
+    }
+
+    /// Any altered byte, a missing shard and a swapped pair are noticed.
+    #[test]
+    fn tampering_is_noticed(
+        document in documents(),
+        pick in any::<prop::sample::Index>(),
+        byte in any::<prop::sample::Index>(),
+        with in any::<u8>(),
+    ) {
+        let objects = to_objects(&document).expect("fits");
+        let head = head_of(&objects);
+        let (digest, text) = objects.shards.get_index(pick.index(objects.shards.len()))
+            .map(|(digest, text)| (digest.clone(), text.to_string()))
+            .expect("there are shards");
+
+        let mut missing = objects.shards.clone();
+        missing.shift_remove(&digest);
+        let refused = from_objects(&head, &missing);
+        prop_assert!(matches!(refused, Err(ObjectsError::Missing { .. })), "{:?}", refused);
+
+        let mut bytes = text.clone().into_bytes();
+        let at = byte.index(bytes.len());
+        bytes[at] = with % 0x60 + 0x20;
+        let altered = String::from_utf8(bytes).expect("ASCII");
+        let mut tampered = objects.shards.clone();
+        tampered.insert(digest, altered.as_str().into());
+        let result = from_objects(&head, &tampered);
+        prop_assert_eq!(result.is_ok(), altered == text);
+    }
+
+    /// Heads follow each other with rising generations, above any floor, and
+    /// remember the last sessions.
+    #[test]
+    fn generations_rise(floors in prop::collection::vec(0_u64..300, 1..150)) {
+        let mut head: Option<Head> = None;
+        for (index, floor) in floors.iter().enumerate() {
+            let session = format!("s-{index}");
+            let next = Head::next(
+                head.as_ref(), Generation(*floor), entry(&session), Default::default());
+
+            prop_assert!(next.generation > Generation(*floor));
+            prop_assert_eq!(next.generation_of(&session), Some(next.generation));
+            if let Some(parent) = &head {
+                prop_assert!(next.generation > parent.generation);
+                prop_assert_eq!(next.parent.clone(), Some(parent.digest()));
+            }
+            prop_assert!(next.sessions.len() <= config::SESSIONS_KEPT);
+            let generations: Vec<_> = next.sessions.iter().map(|one| one.generation).collect();
+            prop_assert!(generations.is_sorted());
+            head = Some(next);
+        }
+    }
+}
+
+#[test]
+fn shards_refuse_fields_that_this_version_does_not_know() {
+    let document = Document::parse(&valid().to_string()).expect("valid");
+    let mut objects = to_objects(&document).expect("fits");
+    let text = json!({"colours": {}}).to_string();
+    let digest = config::digest_of(&text);
+    objects.parts.insert("colours".into(), digest.clone());
+    objects.shards.insert(digest, text.into());
+
+    let result = from_objects(&head_of(&objects), &objects.shards);
+
+    assert!(matches!(result, Err(ObjectsError::Unreadable { .. })));
+}
