--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -18,6 +18,7 @@
 use crate::{
     methods::{Answered, Call, Method},
     secret::PeerSecrets,
+    traffic::count_bytes,
     PEER_HEADER, RPC_PATH,
 };
 
@@ -109,13 +110,15 @@
             params,
         };
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
-        let body = json!({"jsonrpc": "2.0", "id": id, "method": M::NAME, "params": [call]});
+        let body =
+            json!({"jsonrpc": "2.0", "id": id, "method": M::NAME, "params": [call]}).to_string();
+        count_bytes("sent", body.len());
         let conn = self
             .http
             .post(format!("http://{addr}{RPC_PATH}"))
             .with_request_header(PEER_HEADER, self.secrets.current().to_string())
             .with_request_header("content-type", "application/json")
-            .with_body(body.to_string());
+            .with_body(body);
         let late = async {
             smol::Timer::after(timeout).await;
             Err(CallError::NoAnswer {
@@ -139,6 +142,7 @@
         .read_string()
         .await
         .map_err(|error| no_answer(error.to_string()))?;
+    count_bytes("received", text.len());
     if status != 200 {
         return Err(CallError::Refused {
             addr: addr.into(),
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod methods;
 mod secret;
 mod server;
+mod traffic;
 
 pub use client::{CallError, Client};
 pub use dispatch::{
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -9,6 +9,7 @@
 use crate::{
     methods::{Answered, Call, Method},
     secret::PeerSecrets,
+    traffic::count_bytes,
     PEER_HEADER,
 };
 
@@ -106,11 +107,14 @@
         return conn.with_status(Status::BadRequest).halt();
     };
     match module.raw_json_request(&request, 1).await {
-        Ok((answer, _subscriptions)) => conn
-            .with_status(Status::Ok)
-            .with_response_header("content-type", "application/json")
-            .with_body(answer.get().to_string())
-            .halt(),
+        Ok((answer, _subscriptions)) => {
+            count_bytes("received", request.len());
+            count_bytes("sent", answer.get().len());
+            conn.with_status(Status::Ok)
+                .with_response_header("content-type", "application/json")
+                .with_body(answer.get().to_string())
+                .halt()
+        }
         Err(_) => conn.with_status(Status::BadRequest).halt(),
     }
 }
