Open-loop load tool, as a program and a library

Arrivals are planned up front from a seed and sent at their times whatever became of the ones before; times count from the planned arrival. Reports give each flow's outcomes, attainment and percentiles.

--- a/crates/standins/src/caller/exchange.rs
+++ b/crates/standins/src/caller/exchange.rs
@@ -157,6 +157,14 @@
         }
     }
 
+    /// The same caller, with its connections, with another API key.
+    pub fn with_key(&self, api_key: &str) -> Self {
+        Self {
+            api_key: api_key.into(),
+            ..self.clone()
+        }
+    }
+
     /// Asks a question and checks the answer.
     pub async fn ask(&self, question: &Question) -> Reply {
         let request_id = question.request_id.clone().unwrap_or_else(unique_id);
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod answer;
 pub mod caller;
 pub mod engine;
+pub mod load;
 pub mod platform;
 pub mod service;
 mod serving;
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use standins::{engine, platform, service};
+use standins::{engine, load, platform, service};
 
 /// Stand-ins for tests: model engine, platform, plain service and load.
 #[derive(Debug, Parser)]
@@ -24,6 +24,8 @@
     Platform(platform::PlatformArgs),
     /// Run a plain service that keeps a ledger.
     Service(service::ServiceArgs),
+    /// Send an open-loop load and report what became of it.
+    Load(load::LoadArgs),
 }
 
 fn main() -> ExitCode {
@@ -36,6 +38,7 @@
             Command::Engine(args) => engine::run(args).await,
             Command::Platform(args) => platform::run(args).await,
             Command::Service(args) => service::run(args).await,
+            Command::Load(args) => load::run_tool(args).await,
         }
     });
     match ended {
