--- a/crates/agent/src/stop.rs
+++ b/crates/agent/src/stop.rs
@@ -13,7 +13,8 @@
 use futures_lite::FutureExt;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use smol::Timer;
-use trillium_server_common::ServerHandle;
+use telemetry::events::AgentEvent;
+use trillium::Swansong;
 
 use crate::agent::Agent;
 
@@ -28,7 +29,7 @@
 pub struct Running {
     agent: Arc<Agent>,
     addr: SocketAddr,
-    server: ServerHandle,
+    server: Swansong,
 }
 
 /// The flag that SIGTERM and SIGINT set.
@@ -40,7 +41,7 @@
 }
 
 impl Running {
-    pub(crate) fn new(agent: Arc<Agent>, addr: SocketAddr, server: ServerHandle) -> Self {
+    pub(crate) fn new(agent: Arc<Agent>, addr: SocketAddr, server: Swansong) -> Self {
         async_global_executor::spawn(tick(agent.clone())).detach();
         Self {
             agent,
@@ -56,7 +57,7 @@
 
     /// Refuses new requests from now on.
     pub fn drain(&self) {
-        self.agent.gate.drain();
+        self.agent.drain();
     }
 
     /// Drains once `flag` is set.
@@ -66,7 +67,7 @@
             while !flag.load(Ordering::Relaxed) {
                 Timer::after(TICK).await;
             }
-            agent.gate.drain();
+            agent.drain();
         })
         .detach();
     }
@@ -89,6 +90,9 @@
                 break;
             }
         }
+        telemetry::emit(&AgentEvent::DrainFinished {
+            instance: self.agent.settings.instance.clone(),
+        });
         let close = async {
             self.server.shut_down().await;
         };
