--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -2,12 +2,13 @@
 
 use types::TimeMs;
 
-/// Extra attempts that one entry may make for one class.
+/// Extra attempts that one entry may make.
 ///
 /// # Invariants
 ///
-/// Attempts over any span stay within the requests of that span times
-/// `1 + share`, plus the burst.
+/// Extra attempts over any span of `n` requests are at most
+/// `n * EARNED_PER_REQUEST_MILLI / 1000 + BURST_MILLI / 1000`. Thus attempts
+/// stay within 1.1 times the requests over any 1,000 requests.
 #[derive(Debug)]
 pub struct RetryBudget {
     tokens_milli: i64,
@@ -15,11 +16,11 @@
 
 impl RetryBudget {
     /// Extra attempts earned by each request, in thousandths.
-    pub const EARNED_PER_REQUEST_MILLI: i64 = 100;
+    pub const EARNED_PER_REQUEST_MILLI: i64 = 80;
     /// Largest stored budget, in thousandths of an attempt.
-    pub const BURST_MILLI: i64 = 10_000;
+    pub const BURST_MILLI: i64 = 20_000;
 
-    /// Makes a budget that allows a small burst.
+    /// Makes a full budget.
     pub fn new() -> Self {
         Self {
             tokens_milli: Self::BURST_MILLI,
@@ -40,6 +41,12 @@
         self.tokens_milli -= 1_000;
         true
     }
+
+    /// Takes one attempt for a hedge, which leaves half of the budget for
+    /// retries of requests that failed.
+    pub fn try_take_hedge(&mut self, now: TimeMs) -> bool {
+        self.tokens_milli > Self::BURST_MILLI / 2 && self.try_take(now)
+    }
 }
 
 impl Default for RetryBudget {
@@ -48,6 +55,21 @@
     }
 }
 
+/// Longest answer that is hedged, in tokens.
+pub const HEDGE_MAX_TOKENS: u32 = 128;
+
+/// Whether a request that has waited `waited_ms` without a sign of life may be
+/// sent to a second instance, as far as the request itself decides. Only short
+/// repeatable work is; `hedge_after_ms` is that of its candidate.
+pub fn may_hedge(
+    repeatable: bool,
+    expected_tokens: u32,
+    waited_ms: u64,
+    hedge_after_ms: u64,
+) -> bool {
+    repeatable && expected_tokens <= HEDGE_MAX_TOKENS && waited_ms >= hedge_after_ms
+}
+
 /// Jittered pause before attempt `attempt` (1 is the first retry), in milliseconds.
 pub fn backoff_ms(attempt: u32, random: u64) -> u64 {
     const BASE_MS: u64 = 5;
@@ -57,7 +79,7 @@
 }
 
 /// Jittered time told to a refused caller, in milliseconds: between half and
-/// one and a half times the expected wait, at least 200.
+/// one and a half times the expected wait, which counts as 200 to 60,000.
 pub fn retry_after_ms(expected_wait_ms: u64, random: u64) -> u64 {
     const MIN_MS: u64 = 200;
     const MAX_MS: u64 = 60_000;
