--- a/crates/console/src/config_command.rs
+++ b/crates/console/src/config_command.rs
@@ -7,7 +7,7 @@
 
 use config::{Document, Issue, SessionEntry};
 use serde::{Deserialize, Serialize};
-use shared_state::{read_head, StoredHead, Submission, SubmitError};
+use shared_state::{read_head, SessionId, StoredHead, Submission, SubmitError};
 use telemetry::events::OperatorEvent;
 use types::Generation;
 
@@ -23,13 +23,10 @@
 /// How a document is submitted.
 #[derive(Clone, Debug)]
 pub struct SubmitArgs {
-    /// Unique id of the session; the same when it is run again.
-    pub session: String,
+    /// The session; the same when it is run again.
+    pub session: SessionId,
     /// Who submits.
     pub submitter: String,
-    /// Generation that the document was made from; `None` takes the one that
-    /// is stored now.
-    pub base_generation: Option<Generation>,
     /// How long an unanswered write is tried to be settled.
     pub settle_time: Duration,
 }
@@ -76,7 +73,21 @@
     Ok(Document::parse(&text)?)
 }
 
-/// Submits a document against what is stored now.
+/// Begins a session at the generation that is stored now.
+///
+/// # Errors
+///
+/// [`OperatorError`] when the store can't be read.
+pub async fn begin_session(operator: &Operator) -> Result<SessionId, OperatorError> {
+    let stored = read_head(&*operator.store)
+        .await
+        .map_err(SubmitError::NotSubmitted)?;
+    let base = stored.map_or(Generation(0), |stored| stored.head.generation);
+    Ok(SessionId::new(base, rand::random()))
+}
+
+/// Submits a document, if the generation that the session began with is still
+/// in force.
 ///
 /// # Errors
 ///
@@ -87,55 +98,34 @@
     args: &SubmitArgs,
 ) -> Result<SubmitReport, OperatorError> {
     document.validate()?;
-    let base = base_for(operator, args).await?;
-    let before = match &base {
-        Some(stored) => operator.document_of(&stored.head).await?,
-        None => Document::default(),
-    };
-    submit_from(operator, base, &before, document, args).await
-}
-
-/// Submits a document against the state that the session read.
-pub(crate) async fn submit_from(
-    operator: &Operator,
-    base: Option<StoredHead>,
-    before: &Document,
-    document: Document,
-    args: &SubmitArgs,
-) -> Result<SubmitReport, OperatorError> {
-    let changes = difference(before, &document);
+    let before = stored_document(operator).await?;
+    let changes = difference(&before, &document);
     let warnings = document.warnings();
     let submission = Submission::builder()
         .document(document)
         .session(args.session.clone())
         .submitter(args.submitter.clone())
         .submitted_unix_ms(unix_ms())
-        .maybe_base(base)
         .generation_floor(generation_floor(operator).await)
         .settle_time(args.settle_time)
         .build();
     let submitted = match shared_state::submit(&*operator.store, &submission).await {
         Ok(submitted) => submitted,
-        Err(error) => return Err(explain(operator, before, error).await),
+        Err(error) => return Err(explain(operator, &submission.document, error).await),
     };
     telemetry::emit(&OperatorEvent::DocumentSubmitted {
         generation: submitted.generation,
-        session: args.session.clone(),
+        session: args.session.to_string(),
     });
     Ok(SubmitReport {
         generation: submitted.generation,
-        session: args.session.clone(),
+        session: args.session.to_string(),
         by_earlier_run: submitted.by_earlier_run,
         changes,
         warnings,
     })
 }
 
-/// Makes a unique session id.
-pub fn new_session_id() -> String {
-    format!("s-{:016x}", rand::random::<u64>())
-}
-
 /// A submission's report for a terminal.
 pub fn submit_text(report: &SubmitReport) -> String {
     let mut lines: Vec<String> = report.changes.iter().map(Change::to_string).collect();
@@ -166,10 +156,7 @@
 ///
 /// [`OperatorError`] when the stored one can't be read.
 pub async fn diff(operator: &Operator, document: &Document) -> Result<Vec<Change>, OperatorError> {
-    let before = match read_head(&*operator.store).await? {
-        Some(stored) => operator.document_of(&stored.head).await?,
-        None => Document::default(),
-    };
+    let before = stored_document(operator).await?;
     Ok(difference(&before, document))
 }
 
@@ -237,40 +224,16 @@
         .collect()
 }
 
-async fn base_for(
-    operator: &Operator,
-    args: &SubmitArgs,
-) -> Result<Option<StoredHead>, OperatorError> {
-    let stored = read_head(&*operator.store)
-        .await
-        .map_err(SubmitError::NotSubmitted)?;
-    let Some(base_generation) = args.base_generation else {
-        return Ok(stored);
-    };
-    let stored_generation = stored
-        .as_ref()
-        .map_or(Generation(0), |stored| stored.head.generation);
-    let repeated = stored
-        .as_ref()
-        .is_some_and(|stored| stored.head.generation_of(&args.session).is_some());
-    match stored {
-        Some(stored) if stored_generation != base_generation && !repeated => {
-            let error = SubmitError::Lost(Box::new(stored.head));
-            Err(OperatorError::Submit(error))
-        }
-        stored => Ok(stored),
-    }
-}
-
-/// Adds what the winner changed to the error of a lost race.
-async fn explain(operator: &Operator, before: &Document, error: SubmitError) -> OperatorError {
+/// Adds to the error of a lost race what the own document would change in
+/// the winner's.
+async fn explain(operator: &Operator, own: &Document, error: SubmitError) -> OperatorError {
     let SubmitError::Lost(head) = &error else {
         return error.into();
     };
     let Ok(winner) = operator.document_of(head).await else {
         return error.into();
     };
-    let changes: Vec<String> = difference(before, &winner)
+    let changes: Vec<String> = difference(&winner, own)
         .iter()
         .map(Change::to_string)
         .collect();
@@ -278,6 +241,17 @@
     OperatorError::Lost { error, changes }
 }
 
+/// The stored document, an empty one before the first.
+async fn stored_document(operator: &Operator) -> Result<Document, OperatorError> {
+    let stored = read_head(&*operator.store)
+        .await
+        .map_err(SubmitError::NotSubmitted)?;
+    match stored {
+        Some(stored) => operator.document_of(&stored.head).await,
+        None => Ok(Document::default()),
+    }
+}
+
 async fn stored_head(operator: &Operator) -> Result<StoredHead, OperatorError> {
     read_head(&*operator.store)
         .await?
--- a/crates/console/src/lib.rs
+++ b/crates/console/src/lib.rs
@@ -8,7 +8,7 @@
 mod operator;
 
 pub use config_command::{
-    diff, history, new_session_id, read_document, show, submit, submit_text, wait, HistoryLine,
+    begin_session, diff, history, read_document, show, submit, submit_text, wait, HistoryLine,
     SubmitArgs, SubmitReport, WaitReport,
 };
 pub use difference::{difference, Change};
--- a/crates/console/src/operator.rs
+++ b/crates/console/src/operator.rs
@@ -41,11 +41,11 @@
     #[error(transparent)]
     Submit(#[from] SubmitError),
     /// Another session was first.
-    #[error("{error}\nwhat it changed:\n{changes}")]
+    #[error("{error}\nyour document against the one in force:\n{changes}")]
     Lost {
         /// Who won.
         error: SubmitError,
-        /// What the winner changed, one line each.
+        /// What the own document would change in the winner's, one line each.
         changes: String,
     },
     /// There is no configuration yet.
--- a/crates/limpetgw/src/cli/config.rs
+++ b/crates/limpetgw/src/cli/config.rs
@@ -4,6 +4,7 @@
 
 use clap::{Args, Subcommand};
 use console::SubmitArgs;
+use shared_state::SessionId;
 use types::Generation;
 
 use super::{
@@ -57,13 +58,10 @@
     /// File with the document.
     file: PathBuf,
     /// Id of the session; give the printed one again to repeat a submission
-    /// whose outcome is not known.
-    #[arg(long, env = "LIMPETGW_SESSION")]
-    session: Option<String>,
-    /// Generation that the document was made from; refused if another one is
-    /// in force by now.
-    #[arg(long, env = "LIMPETGW_BASE_GENERATION")]
-    base_generation: Option<u64>,
+    /// whose outcome is not known. Without one, a session begins that may
+    /// replace the generation stored now, and no other.
+    #[arg(long, env = "LIMPETGW_SESSION", value_parser = SessionId::parse)]
+    session: Option<SessionId>,
     #[command(flatten)]
     session_args: SessionArgs,
     #[command(flatten)]
@@ -100,16 +98,18 @@
 impl SubmitCommand {
     async fn run(&self) -> Result<(), CliError> {
         let document = console::read_document(&self.file)?;
-        let session = self.session.clone().unwrap_or_else(console::new_session_id);
+        let operator = self.operator.operator()?;
+        let session = match &self.session {
+            Some(session) => session.clone(),
+            None => console::begin_session(&operator).await?,
+        };
         // Printed first: it is needed when this process ends half-way.
         eprintln!("session {session}");
         let args = SubmitArgs {
             session,
             submitter: self.session_args.submitter.clone(),
-            base_generation: self.base_generation.map(Generation),
             settle_time: Duration::from_millis(self.session_args.settle_ms),
         };
-        let operator = self.operator.operator()?;
         let report = console::submit(&operator, document, &args).await?;
         self.operator.print(&report, console::submit_text);
         Ok(())
--- a/crates/shared-state/src/lib.rs
+++ b/crates/shared-state/src/lib.rs
@@ -9,6 +9,7 @@
 mod follow;
 mod membership;
 mod serve;
+mod session;
 mod settings;
 mod state;
 mod submit;
@@ -21,6 +22,7 @@
 pub use follow::{delay_before_fetch, jittered};
 pub use membership::{Membership, MembershipTracker};
 pub use serve::serve;
+pub use session::{NoSessionId, SessionId};
 pub use settings::Settings;
 pub use state::SharedState;
 pub use submit::{submit, Submission, SubmitError, Submitted};
--- a/crates/shared-state/src/submit.rs
+++ b/crates/shared-state/src/submit.rs
@@ -6,24 +6,22 @@
 use platform::{Condition, ObjectStore, StoreError};
 use types::Generation;
 
-use crate::config_store::{head_key, read_head, write_shards, ReadError, StoredHead};
-
-/// Pause between two tries to settle an unanswered write.
-const SETTLE_INTERVAL: Duration = Duration::from_millis(300);
+use crate::{
+    config_store::{head_key, read_head, write_shards, ReadError, StoredHead},
+    session::SessionId,
+};
 
 /// A document with the state that its session started from.
 #[derive(Clone, Debug, bon::Builder)]
 pub struct Submission {
     /// The whole document.
     pub document: Document,
-    /// Unique id of the operator's session; the same when it is run again.
-    pub session: String,
+    /// The operator's session; the same when it is run again.
+    pub session: SessionId,
     /// Who submits.
     pub submitter: String,
     /// Time of the submission, in milliseconds since the Unix epoch.
     pub submitted_unix_ms: u64,
-    /// The head that the session read; `None` before the first configuration.
-    pub base: Option<StoredHead>,
     /// Highest generation known to be in force anywhere: a store that was set
     /// back must not lead to a number that processes have passed already.
     #[builder(default)]
@@ -31,6 +29,9 @@
     /// How long an unanswered write is tried to be settled.
     #[builder(default = Duration::from_secs(15))]
     pub settle_time: Duration,
+    /// Pause between two tries to settle an unanswered write.
+    #[builder(default = Duration::from_millis(300))]
+    pub settle_interval: Duration,
 }
 
 /// A submission took effect.
@@ -54,6 +55,18 @@
     /// The store failed before the configuration could change.
     #[error("nothing changed: {0}")]
     NotSubmitted(ReadError),
+    /// The session began so long ago that the head no longer tells whether an
+    /// earlier run took effect.
+    #[error(
+        "nothing changed by this run: session {session} began before the remembered history, \
+         and generation {generation} is in force; start a new session from it"
+    )]
+    Forgotten {
+        /// The session.
+        session: SessionId,
+        /// Generation in force.
+        generation: u64,
+    },
     /// The store did not answer: the document may be in force.
     #[error(
         "it can't be known yet whether session {session} took effect ({reason}); \
@@ -62,7 +75,7 @@
     )]
     Unknown {
         /// The session.
-        session: String,
+        session: SessionId,
         /// The store's word.
         reason: String,
     },
@@ -95,8 +108,8 @@
     if let Some(submitted) = earlier_run(current.as_ref(), submission) {
         return Ok(submitted);
     }
-    refuse_if_moved(current, submission)?;
-    let base = submission.base.as_ref();
+    refuse_if_moved(current.as_ref(), submission)?;
+    let base = current.as_ref();
     write_shards(store, &objects.shards, base.map(|stored| &stored.head))
         .await
         .map_err(|error| SubmitError::NotSubmitted(error.into()))?;
@@ -104,14 +117,17 @@
         base.map(|stored| &stored.head),
         submission.generation_floor,
         SessionEntry {
-            session: submission.session.clone(),
+            session: submission.session.to_string(),
             submitter: submission.submitter.clone(),
             generation: Generation::default(),
             submitted_unix_ms: submission.submitted_unix_ms,
         },
         objects.parts,
     );
-    write_head(store, submission, &head).await
+    let condition = base.map_or(Condition::Absent, |stored| {
+        Condition::Version(stored.version)
+    });
+    write_head(store, submission, &head, condition).await
 }
 
 /// Writes the head, and settles lost answers: the same conditional write is
@@ -120,14 +136,11 @@
     store: &dyn ObjectStore,
     submission: &Submission,
     head: &Head,
+    condition: Condition,
 ) -> Result<Submitted, SubmitError> {
-    let condition = match &submission.base {
-        Some(stored) => Condition::Version(stored.version),
-        None => Condition::Absent,
-    };
     let value = head.to_value();
     let give_up = Instant::now() + submission.settle_time;
-    let mut unsure: Option<String> = None;
+    let mut unsure = false;
     loop {
         let reason = match store.put(&head_key(), &value, condition).await {
             Ok(_) => {
@@ -136,69 +149,86 @@
                     by_earlier_run: false,
                 })
             }
-            Err(StoreError::Conflict) => match settle_conflict(store, submission, &unsure).await {
-                Ok(submitted) => return Ok(submitted),
-                Err(SubmitError::Unknown { reason, .. }) => reason,
-                Err(error) => return Err(error),
+            Err(StoreError::Conflict) => match settle_conflict(store, submission, unsure).await? {
+                Settled::Submitted(submitted) => return Ok(submitted),
+                Settled::NotYet(reason) => reason,
             },
-            Err(StoreError::Unsure(reason)) => reason,
             // Refused: this try had no effect, but an earlier one may have had.
-            Err(error) if unsure.is_none() => {
-                return Err(SubmitError::NotSubmitted(error.into()));
+            Err(error @ StoreError::Refused(_)) if unsure => error.to_string(),
+            Err(StoreError::Unsure(reason)) => {
+                unsure = true;
+                reason
             }
-            Err(error) => error.to_string(),
+            Err(error) => return Err(SubmitError::NotSubmitted(error.into())),
         };
         if Instant::now() >= give_up {
             let session = submission.session.clone();
             return Err(SubmitError::Unknown { session, reason });
         }
-        unsure = Some(reason);
-        smol::Timer::after(SETTLE_INTERVAL).await;
+        smol::Timer::after(submission.settle_interval).await;
     }
 }
 
+/// What a look at the head tells after a conflict.
+enum Settled {
+    Submitted(Submitted),
+    NotYet(String),
+}
+
 /// Finds out after a conflict whether the own write made it.
 async fn settle_conflict(
     store: &dyn ObjectStore,
     submission: &Submission,
-    unsure: &Option<String>,
-) -> Result<Submitted, SubmitError> {
-    let unknown = |reason: String| SubmitError::Unknown {
-        session: submission.session.clone(),
-        reason,
+    unsure: bool,
+) -> Result<Settled, SubmitError> {
+    let current = match read_head(store).await {
+        Ok(current) => current,
+        Err(error) => return Ok(Settled::NotYet(error.to_string())),
     };
-    let current = read_head(store)
-        .await
-        .map_err(|error| unknown(error.to_string()))?;
     if let Some(mut submitted) = earlier_run(current.as_ref(), submission) {
-        submitted.by_earlier_run = unsure.is_none();
-        return Ok(submitted);
+        submitted.by_earlier_run = !unsure;
+        return Ok(Settled::Submitted(submitted));
     }
-    refuse_if_moved(current, submission)?;
-    // The store said conflict, yet shows the version of the condition.
-    Err(unknown("the store contradicts itself".into()))
+    refuse_if_moved(current.as_ref(), submission)?;
+    // The store said conflict, yet shows the head that the session read.
+    Ok(Settled::NotYet("the store contradicts itself".into()))
 }
 
 fn earlier_run(current: Option<&StoredHead>, submission: &Submission) -> Option<Submitted> {
-    let generation = current?.head.generation_of(&submission.session)?;
+    let generation = current?.head.generation_of(submission.session.as_str())?;
     Some(Submitted {
         generation,
         by_earlier_run: true,
     })
 }
 
+/// A session may only replace the generation that it began with: so it never
+/// applies twice, however late it is run again.
 fn refuse_if_moved(
-    current: Option<StoredHead>,
+    current: Option<&StoredHead>,
     submission: &Submission,
 ) -> Result<(), SubmitError> {
-    let base_version = submission.base.as_ref().map(|stored| stored.version);
-    match current {
-        Some(current) if Some(current.version) != base_version => {
-            Err(SubmitError::Lost(Box::new(current.head)))
-        }
-        None if base_version.is_some() => Err(SubmitError::NotSubmitted(ReadError::Head(
-            "it was there when the session began and is gone".into(),
-        ))),
-        _ => Ok(()),
+    let base = submission.session.base();
+    let Some(StoredHead { head, .. }) = current else {
+        return match base {
+            Generation(0) => Ok(()),
+            _ => Err(SubmitError::NotSubmitted(ReadError::Head(
+                "it was there when the session began and is gone".into(),
+            ))),
+        };
+    };
+    if head.generation == base {
+        return Ok(());
+    }
+    let remembers = head
+        .sessions
+        .first()
+        .is_some_and(|oldest| oldest.generation.0 <= base.0 + 1);
+    if remembers || head.generation < base {
+        return Err(SubmitError::Lost(Box::new(head.clone())));
     }
+    Err(SubmitError::Forgotten {
+        session: submission.session.clone(),
+        generation: head.generation.0,
+    })
 }
--- /dev/null
+++ b/crates/shared-state/tests/suite/fixtures.rs
@@ -0,0 +1,61 @@
+//! Fixtures: documents, heads and chains of configurations.
+
+use config::{to_objects, Document, Head, SessionEntry, ShardTexts};
+use platform::{Instance, InstanceList, InstanceState, Role};
+use proptest::prelude::ProptestConfig;
+use serde_json::json;
+use types::Generation;
+
+/// A valid document whose one class has this target.
+pub(crate) fn document(target_ms: u64) -> Document {
+    let document = json!({
+        "classes": {"only": {"priority": 1, "first_token_target_ms": target_ms,
+                             "deadline_ms": 600_000, "queue_limit": 10}},
+    });
+    Document::parse(&document.to_string()).expect("the fixture is valid")
+}
+
+/// Configurations of rising generations, each with its shards.
+pub(crate) fn chain(length: u64) -> Vec<(Head, ShardTexts)> {
+    let mut chain: Vec<(Head, ShardTexts)> = Vec::new();
+    for index in 0..length {
+        let objects = to_objects(&document(100 + index)).expect("fits");
+        let parent = chain.last().map(|(head, _)| head);
+        let entry = SessionEntry {
+            session: format!("s-{index}-0"),
+            submitter: "ana".into(),
+            generation: Generation(0),
+            submitted_unix_ms: 0,
+        };
+        let head = Head::next(parent, Generation(0), entry, objects.parts);
+        chain.push((head, objects.shards));
+    }
+    chain
+}
+
+/// A live agent of `upstream`.
+pub(crate) fn agent(instance: &str, addr: &str) -> Instance {
+    Instance {
+        instance: instance.into(),
+        role: Role::Agent,
+        upstream: Some("carving".into()),
+        zone: "az-1".into(),
+        addr: addr.into(),
+        state: InstanceState::Live,
+    }
+}
+
+/// A list.
+pub(crate) fn list(version: u64, instances: Vec<Instance>) -> InstanceList {
+    InstanceList { version, instances }
+}
+
+/// The same verdict on each run.
+pub(crate) fn proptest_config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_204),
+        ..ProptestConfig::default()
+    }
+}
--- /dev/null
+++ b/crates/shared-state/tests/suite/spreading.rs
@@ -0,0 +1,1 @@
+//! Generations spread among processes without the store.
