--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 use platform::HttpPlatform;
 use serde_json::{json, Value};
-use shared_state::Submission;
+use shared_state::{SessionId, Submission};
 use standins::{
     caller::{Caller, Question},
     engine::Stats,
@@ -370,13 +370,13 @@
         let store = HttpPlatform::new(self.platform_addr());
         let base = shared_state::read_head(&store)
             .await
-            .map_err(|error| refused(error.to_string()))?;
+            .map_err(|error| refused(error.to_string()))?
+            .map_or(Generation(0), |stored| stored.head.generation);
         let submission = Submission::builder()
             .document(document)
-            .session(format!("{:016x}", rand::random::<u64>()))
+            .session(SessionId::new(base, rand::random()))
             .submitter("harness".into())
             .submitted_unix_ms(unix_ms())
-            .maybe_base(base)
             .build();
         let submitted = shared_state::submit(&store, &submission)
             .await
