Entry: learn crash evidence from agents and other entries

After an upstream failed, its agent is asked at once what it suspects, so that the retry is marked or refused; exchanges with random processes spread the rest, and teach an entry that has just started.

--- a/crates/entry/src/attempt/session.rs
+++ b/crates/entry/src/attempt/session.rs
@@ -14,7 +14,12 @@
     transport::Head,
 };
 use crate::{
-    app::App, failure::Failure, filters::admit::Place, lifecycle::InFlight, request::Request,
+    app::{lock, App},
+    evidence::exchange,
+    failure::Failure,
+    filters::{admit::Place, quarantine::check_quarantine},
+    lifecycle::InFlight,
+    request::Request,
 };
 
 /// Attempts of one request at most, the first included.
@@ -28,6 +33,8 @@
     pub(crate) request: Request,
     pub(crate) attempts: u32,
     excluded: Vec<InstanceId>,
+    /// Address of the last attempt's agent.
+    last_addr: Option<Arc<str>>,
     /// Whether an attempt may have run.
     may_have_run: bool,
     place: Place,
@@ -55,6 +62,7 @@
             request,
             attempts: 0,
             excluded: Vec::new(),
+            last_addr: None,
             may_have_run: false,
             place,
             in_flight,
@@ -78,6 +86,7 @@
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
             };
+            self.learn_from(&failure).await?;
             if !self.may_try_again(&failure) {
                 return Err(self.overall(failure));
             }
@@ -97,6 +106,7 @@
     ) -> Result<OpenAnswer, Failure> {
         self.may_have_run = true;
         self.log_failed_attempt(&cut);
+        self.learn_from(&cut).await?;
         if !self.may_try_again(&cut) {
             return Err(cut);
         }
@@ -104,6 +114,27 @@
         self.open(resume_from).await
     }
 
+    /// After an upstream failed, asks its agent whether it crashed and which
+    /// contents are suspected.
+    ///
+    /// # Errors
+    ///
+    /// `quarantined` if this request's content is refused from now on.
+    async fn learn_from(&mut self, failure: &Failure) -> Result<(), Failure> {
+        let Some(addr) = &self.last_addr else {
+            return Ok(());
+        };
+        if failure.code != ErrorCode::UpstreamFailed {
+            return Ok(());
+        }
+        exchange(&self.app, addr).await;
+        match check_quarantine(&self.app, self.request.fingerprint) {
+            Ok(suspect) => self.request.suspect |= suspect,
+            Err(refusal) => return Err(self.overall(refusal)),
+        }
+        Ok(())
+    }
+
     async fn attempt(&mut self, resume_from: u32) -> Result<OpenAnswer, Failure> {
         self.place.dispatch()?;
         let chosen = self.choose()?;
@@ -115,10 +146,14 @@
             self.request.request_id.clone(),
         );
         self.excluded.push(instance);
+        self.last_addr = Some(chosen.addr.clone());
         let waited = self.wait_for_head(&chosen, &meta).await;
         let head = match waited {
             Waited::Head(head) => *head,
-            Waited::Silent => return Err(self.on_silent(&chosen)),
+            Waited::Silent => {
+                self.last_addr = None;
+                return Err(self.on_silent(&chosen));
+            }
             Waited::Late => {
                 cancel.disarm();
                 return Err(self.on_late(&chosen).await);
@@ -306,6 +341,7 @@
 
     /// Logs that a whole answer was read.
     pub(crate) fn log_finished(&self, tokens: u32, first_token_ms: u64) {
+        lock(&self.app.suspects).on_whole(self.app.now(), self.request.fingerprint);
         emit(&EntryEvent::RequestFinished {
             request_id: self.request.request_id.clone(),
             class: self.request.class.clone(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod app;
 mod attempt;
 mod chat;
+mod evidence;
 mod failure;
 mod filters;
 mod head_guard;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -11,7 +11,8 @@
 use trillium_smol::async_net::TcpListener;
 
 use crate::{
-    app::App, head_guard::HeadGuard, once::sweep_claims, operator, routes, RunError, Settings,
+    app::App, evidence::exchange_now_and_then, head_guard::HeadGuard, once::sweep_claims, operator,
+    routes, RunError, Settings,
 };
 
 /// Largest request head that is read at all, in bytes. Heads between the
@@ -77,6 +78,7 @@
     );
     let sweep = sweep_claims(app.store.clone(), app.settings.claim_retention);
     async_global_executor::spawn(sweep).detach();
+    async_global_executor::spawn(exchange_now_and_then(app.clone())).detach();
     emit(&EntryEvent::Listening {
         instance: app.settings.instance.clone(),
         addr: addr.to_string(),
--- a/crates/entry/tests/support/agent.rs
+++ b/crates/entry/tests/support/agent.rs
@@ -11,9 +11,14 @@
 };
 
 use futures_lite::AsyncRead;
-use policy::schedule::{LoadReport, Recall};
+use policy::{
+    quarantine::Evidence,
+    schedule::{LoadReport, Recall},
+};
 use rpc::{
-    methods::{Answered, GetStatus, RecallAnswer, RecallRequest, Status as ProcessStatus},
+    methods::{
+        Answered, ExchangeEvidence, GetStatus, RecallAnswer, RecallRequest, Status as ProcessStatus,
+    },
     DispatchMeta, DispatchReply, Methods, DISPATCH_HEADER, DISPATCH_PATH, REPLY_HEADER,
 };
 use serde_json::json;
@@ -62,6 +67,7 @@
     leaving: bool,
     deaf: bool,
     dropped_bodies: u32,
+    evidence: Vec<Evidence>,
 }
 
 pub struct FakeAgent {
@@ -135,6 +141,11 @@
         self.state.lock().unwrap().recall = recall;
     }
 
+    /// Tells this evidence to whoever exchanges.
+    pub fn tell_evidence(&self, evidence: Vec<Evidence>) {
+        self.state.lock().unwrap().evidence = evidence;
+    }
+
     pub fn say_leaving(&self) {
         self.state.lock().unwrap().leaving = true;
     }
@@ -148,6 +159,7 @@
 fn methods(state: Arc<Mutex<State>>, name: &str) -> impl trillium::Handler {
     let recall_name = name.to_owned();
     let status_name = name.to_owned();
+    let evidence_name = name.to_owned();
     Methods::new(state)
         .with::<RecallRequest, _, _>(move |call, state| {
             let sender = recall_name.as_str().into();
@@ -189,6 +201,16 @@
                 })
             }
         })
+        .with::<ExchangeEvidence, _, _>(move |_call, state| {
+            let sender: types::InstanceId = evidence_name.as_str().into();
+            async move {
+                Ok(Answered {
+                    sender,
+                    generation: Generation(1),
+                    answer: state.lock().unwrap().evidence.clone(),
+                })
+            }
+        })
         .into_handler(super::secrets())
 }
 
