Spread generations among sixteen neighbours, eight told at once

Telling is paid once a change, asking all the time, so telling more is the cheaper way.

Fixed neighbours (highest hash with the own id) in place of any instance of the list bound the kept connections: idle ones stay for 300 s and more, at one random peer in 3 s over a hundred.

--- a/crates/shared-state/src/follow/mod.rs
+++ b/crates/shared-state/src/follow/mod.rs
@@ -2,10 +2,13 @@
 
 mod config;
 mod instances;
+mod neighbours;
 mod pace;
 mod peers;
 
+pub use neighbours::{neighbours, NEIGHBOURS_MAX};
 pub use pace::{delay_before_fetch, jittered};
+pub use peers::PEERS_TOLD;
 
 use std::sync::Arc;
 
@@ -27,5 +30,6 @@
     let (shared, from) = tasks();
     async_global_executor::spawn(peers::follow_hints(shared, from, hints)).detach();
     let (shared, from) = tasks();
-    async_global_executor::spawn(peers::compare_generations(shared, from)).detach();
+    let rises = state.rises();
+    async_global_executor::spawn(peers::compare_generations(shared, from, rises)).detach();
 }
--- a/crates/shared-state/src/follow/peers.rs
+++ b/crates/shared-state/src/follow/peers.rs
@@ -2,18 +2,18 @@
 //!
 //! The store's watch tells most processes of a change within its round trip.
 //! Where a watch hangs or the store is down, generations spread from process
-//! to process: each compares its generation with a random peer's every few
-//! seconds, and tells some peers at once when its own has risen.
+//! to process: each compares its generation with a random neighbour's every
+//! few seconds, and with several at once when its own has risen.
 
 use std::{sync::Arc, time::Duration};
 
 use futures_lite::FutureExt;
-use rand::RngExt;
+use rand::seq::SliceRandom;
 use rpc::methods::{CompareGenerations, GetConfig};
 use smol::channel::Receiver;
 use telemetry::events::StateEvent;
 
-use super::{config::read_from_store, pace::jittered};
+use super::{config::read_from_store, neighbours::neighbours, pace::jittered};
 use crate::{
     config_store::parse_head,
     settings::Settings,
@@ -28,7 +28,7 @@
 /// Longest wait for the store before a peer is asked.
 const STORE_HEAD_START: Duration = Duration::from_millis(700);
 /// Peers told at once of a newer configuration.
-const PEERS_TOLD: usize = 3;
+pub const PEERS_TOLD: usize = 8;
 
 /// Fetches newer configurations that peers were heard to have.
 pub(super) async fn follow_hints(
@@ -98,59 +98,58 @@
     }
 }
 
-/// Compares generations with random peers; runs as long as the process.
-pub(super) async fn compare_generations(state: Arc<SharedState>, settings: Arc<Settings>) {
-    let mut told = state.generation();
+/// Compares generations with random neighbours; runs as long as the process.
+pub(super) async fn compare_generations(
+    state: Arc<SharedState>,
+    settings: Arc<Settings>,
+    rises: Receiver<()>,
+) {
     loop {
         let pause = jittered(settings.compare_interval, rand::random());
-        wait_for_rise(&state, told, pause).await;
-        let peers_asked = if state.generation() > told {
-            PEERS_TOLD
-        } else {
-            1
+        let risen = async { rises.recv().await.is_ok() };
+        let quiet = async {
+            smol::Timer::after(pause).await;
+            false
         };
-        told = state.generation();
-        for _ in 0..peers_asked {
-            compare_with_one(&state, &settings).await;
-        }
-    }
-}
-
-/// Waits for `pause`, or until the generation has risen above `told`.
-async fn wait_for_rise(state: &SharedState, told: types::Generation, pause: Duration) {
-    const STEP: Duration = Duration::from_millis(100);
-    let end = std::time::Instant::now() + pause;
-    while state.generation() <= told && std::time::Instant::now() < end {
-        smol::Timer::after(STEP).await;
+        let peers_asked = if risen.or(quiet).await { PEERS_TOLD } else { 1 };
+        compare_with(&state, &settings, peers_asked).await;
     }
 }
 
-async fn compare_with_one(state: &SharedState, settings: &Settings) {
-    let Some(addr) = random_peer(state, settings) else {
-        return;
-    };
-    let answer = settings
-        .peers
-        .call::<CompareGenerations>(&addr, state.generation(), (), PEER_TIMEOUT)
-        .await;
-    if let Ok(answered) = answer {
-        state.on_peer_generation(&addr, answered.generation);
+/// Compares generations with some random neighbours at the same time.
+async fn compare_with(state: &Arc<SharedState>, settings: &Arc<Settings>, count: usize) {
+    let calls: Vec<_> = random_peers(state, settings, count)
+        .into_iter()
+        .map(|addr| {
+            let (state, settings) = (state.clone(), settings.clone());
+            async_global_executor::spawn(async move {
+                let answer = settings
+                    .peers
+                    .call::<CompareGenerations>(&addr, state.generation(), (), PEER_TIMEOUT)
+                    .await;
+                if let Ok(answered) = answer {
+                    state.on_peer_generation(&addr, answered.generation);
+                }
+            })
+        })
+        .collect();
+    for call in calls {
+        call.await;
     }
 }
 
-/// A random instance of the list, or a random seed while there is no list.
-fn random_peer(state: &SharedState, settings: &Settings) -> Option<Arc<str>> {
+/// Addresses of random neighbours, or of random seeds while there is no list.
+fn random_peers(state: &SharedState, settings: &Settings, count: usize) -> Vec<Arc<str>> {
     let membership = state.membership();
-    let others: Vec<&Arc<str>> = membership
-        .all
-        .iter()
-        .filter(|one| one.instance != settings.instance)
-        .map(|one| &one.addr)
+    let ids = membership.all.iter().map(|one| &one.instance);
+    let mut addrs: Vec<Arc<str>> = neighbours(&settings.instance, ids)
+        .into_iter()
+        .map(|index| membership.all[index].addr.clone())
         .collect();
-    let mut rng = rand::rng();
-    if others.is_empty() {
-        let index = rng.random_range(0..settings.seeds.len().max(1));
-        return settings.seeds.get(index).cloned();
+    if addrs.is_empty() {
+        addrs = settings.seeds.clone();
     }
-    Some(others[rng.random_range(0..others.len())].clone())
+    addrs.shuffle(&mut rand::rng());
+    addrs.truncate(count);
+    addrs
 }
--- a/crates/shared-state/src/lib.rs
+++ b/crates/shared-state/src/lib.rs
@@ -19,7 +19,7 @@
     head_key, parse_head, read_head, read_shards, shard_key, ReadError, StoredHead, HEAD_KIND,
     HEAD_NAME, SHARD_KIND,
 };
-pub use follow::{delay_before_fetch, jittered};
+pub use follow::{delay_before_fetch, jittered, neighbours, NEIGHBOURS_MAX, PEERS_TOLD};
 pub use membership::{Membership, MembershipTracker};
 pub use serve::serve;
 pub use session::{NoSessionId, SessionId};
--- a/crates/shared-state/src/state.rs
+++ b/crates/shared-state/src/state.rs
@@ -12,7 +12,7 @@
 use config::{Head, ObjectsError, ShardTexts, Snapshot};
 use platform::{Instance, InstanceList};
 use rpc::methods::{ConfigBundle, GetConfigParams, MembershipView};
-use smol::channel::Sender;
+use smol::channel::{Receiver, Sender};
 use telemetry::events::StateEvent;
 use types::{Generation, InstanceId};
 
@@ -49,6 +49,8 @@
     list_confirmed: Mutex<Option<Instant>>,
     store_answers: AtomicBool,
     hints: Sender<Hint>,
+    /// Holds a token after the generation has risen.
+    rises: (Sender<()>, Receiver<()>),
 }
 
 impl SharedState {
@@ -84,6 +86,7 @@
             list_confirmed: Mutex::new(None),
             store_answers: AtomicBool::new(true),
             hints,
+            rises: smol::channel::bounded(1),
         }
     }
 
@@ -198,6 +201,8 @@
         metrics::gauge!("limpetgw_config_generation").set(applied.generation().0 as f64);
         self.snapshot.store(applied.snapshot.clone());
         self.applied.store(Arc::new(applied));
+        // A token that is there already tells the same.
+        let _ = self.rises.0.try_send(());
         Ok(true)
     }
 
@@ -231,6 +236,11 @@
         *lock(&self.list_confirmed) = Some(Instant::now());
     }
 
+    /// Receives a token after each rise of the generation.
+    pub(crate) fn rises(&self) -> Receiver<()> {
+        self.rises.1.clone()
+    }
+
     /// Whether the last call to the store was answered.
     pub(crate) fn store_answers(&self) -> bool {
         self.store_answers.load(Ordering::Relaxed)
