--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -3,12 +3,11 @@
 use std::sync::Arc;
 
 use rpc::{
-    methods::{Answered, Drain, ExchangeEvidence, GetConfig, GetStatus, Status},
+    methods::{Answered, Drain, ExchangeEvidence, GetStatus, Status},
     Methods,
 };
 use trillium::{Conn, Handler};
 use trillium_router::Router;
-use types::Generation;
 
 use crate::{
     app::{lock, App},
@@ -26,9 +25,12 @@
 pub(crate) fn handler(app: Arc<App>, drain: DrainHandle) -> impl Handler {
     let secrets = app.settings.secrets.clone();
     let ready_app = app.clone();
-    let methods = Methods::new(Served { app, drain })
+    let instance = app.settings.instance.clone();
+    let shared = app.shared.clone();
+    let methods = shared_state::serve(Methods::new(Served { app, drain }), instance, shared)
         .with::<GetStatus, _, _>(|call, served| async move {
-            served.note(call.generation);
+            let shared = &served.app.shared;
+            shared.on_sender_generation(&call.sender, call.generation);
             Ok(served.answered(served.status()))
         })
         .with::<ExchangeEvidence, _, _>(|call, served| async move {
@@ -39,7 +41,6 @@
             drop(suspects);
             Ok(served.answered(known))
         })
-        .with::<GetConfig, _, _>(|_call, served| async move { Ok(served.answered(None)) })
         .with::<Drain, _, _>(|_call, served| async move {
             served.drain.drain();
             Ok(served.answered(()))
@@ -57,8 +58,6 @@
 }
 
 impl Served {
-    fn note(&self, _generation: Generation) {}
-
     fn answered<A>(&self, answer: A) -> Answered<A> {
         Answered {
             sender: self.app.settings.instance.clone(),
@@ -83,7 +82,7 @@
             in_flight: app.lifecycle.in_flight(),
             load: None,
             upstreams,
-            membership_age_ms: 0,
+            membership_age_ms: app.shared.membership_age_ms(),
         }
     }
 }
--- a/crates/rpc/src/methods.rs
+++ b/crates/rpc/src/methods.rs
@@ -109,7 +109,7 @@
     pub list: InstanceList,
     /// Instances that said that they are leaving while the list shows them live.
     pub leaving: Vec<InstanceId>,
-    /// Time since the platform last confirmed the list, in milliseconds.
+    /// Time for which the platform has not confirmed the list, in milliseconds.
     pub age_ms: u64,
 }
 
--- a/crates/shared-state/src/follow/instances.rs
+++ b/crates/shared-state/src/follow/instances.rs
@@ -24,9 +24,9 @@
             .instances
             .instances(after, settings.watch_timeout)
             .await;
+        state.note_list(answer.is_ok());
         match answer {
             Ok(list) => {
-                state.on_list_confirmed();
                 if let Some(list) = list {
                     let lines = list.instances.len();
                     state.on_list(list);
--- a/crates/shared-state/src/state.rs
+++ b/crates/shared-state/src/state.rs
@@ -46,7 +46,8 @@
     applying: Mutex<()>,
     membership: ArcSwap<Membership>,
     tracker: Mutex<MembershipTracker>,
-    list_confirmed: Mutex<Option<Instant>>,
+    /// `None` while the platform answers.
+    list_unconfirmed_since: Mutex<Option<Instant>>,
     store_answers: AtomicBool,
     hints: Sender<Hint>,
     /// Holds a token after the generation has risen.
@@ -83,7 +84,7 @@
             applying: Mutex::new(()),
             membership: ArcSwap::default(),
             tracker: Mutex::default(),
-            list_confirmed: Mutex::new(None),
+            list_unconfirmed_since: Mutex::new(None),
             store_answers: AtomicBool::new(true),
             hints,
             rises: smol::channel::bounded(1),
@@ -158,10 +159,10 @@
     }
 
     /// Time since the platform last confirmed the instance list, in
-    /// milliseconds; 0 before it ever did.
+    /// milliseconds; 0 while its watch is being answered, and before it ever was.
     pub fn membership_age_ms(&self) -> u64 {
-        let confirmed = *lock(&self.list_confirmed);
-        confirmed.map_or(0, |at| {
+        let unconfirmed_since = *lock(&self.list_unconfirmed_since);
+        unconfirmed_since.map_or(0, |at| {
             u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX)
         })
     }
@@ -232,8 +233,14 @@
             .collect()
     }
 
-    pub(crate) fn on_list_confirmed(&self) {
-        *lock(&self.list_confirmed) = Some(Instant::now());
+    /// Notes whether the platform answered a call for its list.
+    pub(crate) fn note_list(&self, answered: bool) {
+        let mut since = lock(&self.list_unconfirmed_since);
+        if answered {
+            *since = None;
+        } else if since.is_none() {
+            *since = Some(Instant::now());
+        }
     }
 
     /// Receives a token after each rise of the generation.
