Hold orders longer at the service, so that kills meet runs in flight

With 30 ms of work the kill of an agent rarely met a run, and the mutation that tells every broken exchange as not run stayed green (case_02_agent_killed); with 150 ms it is red. Mutations seen red: claims switched off (case_05), every failure releases its claim (case_05), retries after may-have-run (cases 04 to 07), a broken exchange told as not run (case_02).

--- a/crates/limpetgw/tests/at_most_once.rs
+++ b/crates/limpetgw/tests/at_most_once.rs
@@ -58,7 +58,7 @@
         .entries(2)
         .engines(0)
         .services(2)
-        .service_args(args("--work-ms 30"))
+        .service_args(args("--work-ms 150"))
         .build();
     Fleet::start(plan).await
 }
