--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -16,6 +16,8 @@
     limiter::{CallKind, Limiter, Rates},
 };
 
+/// Size of the HTTP head of a call or its answer, in bytes, about.
+const HEAD_BYTES: u64 = 300;
 /// Longest wait for the answer to a call other than a watch.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time beyond a watch's own timeout after which it counts as unanswered.
@@ -305,4 +307,8 @@
     };
     metrics::counter!("limpetgw_platform_calls_total", "call" => kind.as_str(), "outcome" => outcome)
         .increment(1);
+    let body_bytes = answer.as_ref().map_or(0, |answer| answer.text.len());
+    metrics::counter!("limpetgw_control_bytes_total", "direction" => "received")
+        .increment(HEAD_BYTES + body_bytes as u64);
+    metrics::counter!("limpetgw_control_bytes_total", "direction" => "sent").increment(HEAD_BYTES);
 }
