cargo xtask demo and cargo xtask measure overhead

The demonstration loses an engine under a mixed load and fails if an answer is lost, doubled, crossed or cut.

--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -76,7 +76,7 @@
     /// When anything does not come up in time.
     pub async fn start(plan: FleetPlan) -> Result<Self, HarnessError> {
         let fleet = Self::start_unready(plan).await?;
-        if fleet.plan.document.is_some() {
+        if fleet.plan.is_configured {
             fleet.wait_ready(fleet.plan.ready_limit).await?;
         }
         Ok(fleet)
@@ -101,8 +101,8 @@
             members: IndexMap::new(),
             http: client(),
         };
-        if let Some(document) = fleet.plan.document.clone() {
-            fleet.submit(document).await?;
+        if fleet.plan.is_configured {
+            fleet.submit(fleet.plan.document.clone()).await?;
         }
         for _ in 0..fleet.plan.engines {
             fleet.add_engine().await?;
@@ -330,20 +330,48 @@
     pub async fn list(&self, name: &str, state: &str) -> Result<(), HarnessError> {
         let unknown = || HarnessError::UnknownName(name.into());
         let member = self.members.get(name).ok_or_else(unknown)?;
+        let (role, upstream) = match &member.kind {
+            Kind::Entry => ("entry", None),
+            Kind::Agent { upstream } => ("agent", Some(upstream)),
+            Kind::Engine | Kind::Service => return Err(unknown()),
+        };
         let mut line = json!({
             "instance": name,
+            "role": role,
             "zone": member.zone,
             "addr": member.process.internal_addr(),
             "state": state,
         });
-        match &member.kind {
-            Kind::Entry => line["role"] = "entry".into(),
-            Kind::Agent { upstream } => {
-                line["role"] = "agent".into();
-                line["upstream"] = upstream.as_str().into();
-            }
-            Kind::Engine | Kind::Service => return Err(unknown()),
+        if let Some(upstream) = upstream {
+            line["upstream"] = upstream.as_str().into();
         }
+        self.list_line(&line).await
+    }
+
+    /// Lists one more live agent that is in truth the agent `of`, so that a
+    /// few processes look like many.
+    ///
+    /// # Errors
+    ///
+    /// When there is none of this name or the platform does not answer.
+    pub async fn list_alias(
+        &self,
+        instance: &str,
+        of: &str,
+        upstream: &str,
+    ) -> Result<(), HarnessError> {
+        let line = json!({
+            "instance": instance,
+            "role": "agent",
+            "upstream": upstream,
+            "zone": self.zone(0),
+            "addr": self.process(of)?.internal_addr(),
+            "state": "live",
+        });
+        self.list_line(&line).await
+    }
+
+    async fn list_line(&self, line: &Value) -> Result<(), HarnessError> {
         let url = format!("http://{}/admin/instances", self.platform_addr());
         call_json(&self.http, Method::Post, &url, Some(line.to_string())).await?;
         Ok(())
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -33,6 +33,7 @@
 mod plan;
 mod process;
 mod programs;
+mod usage;
 
 pub use error::HarnessError;
 pub use fleet::{Fleet, ENGINE_MODEL, ENGINE_UPSTREAM, SERVICE_ROUTE, SERVICE_UPSTREAM};
--- a/crates/harness/src/plan.rs
+++ b/crates/harness/src/plan.rs
@@ -30,9 +30,13 @@
     /// Availability zones over which all are spread in turn.
     #[builder(default = 3)]
     pub zones: usize,
-    /// The configuration in force from the start; `None` starts without one.
-    #[builder(required, default = Some(default_document()))]
-    pub document: Option<Document>,
+    /// The configuration in force from the start.
+    #[builder(default = default_document())]
+    pub document: Document,
+    /// Whether the document is submitted at the start; if not, submit one
+    /// with [`Fleet::submit`](crate::Fleet::submit).
+    #[builder(default = true)]
+    pub is_configured: bool,
     /// Further arguments of the platform.
     #[builder(default)]
     pub platform_args: Vec<String>,
--- /dev/null
+++ b/xtask/src/demo/load.rs
@@ -0,0 +1,61 @@
+//! The load of the demonstration.
+
+use std::time::Duration;
+
+use harness::{Fleet, HarnessError, CAFE_KEY, CLINIC_KEY, ENGINE_MODEL, SERVICE_ROUTE};
+use standins::load::{Flow, Load, Phase, What};
+
+/// Length of the load.
+pub(super) const LENGTH: Duration = Duration::from_secs(10);
+
+/// Short urgent questions, middling ones, long history work, orders that must
+/// run at most once and reads.
+pub(super) fn mixed(fleet: &Fleet) -> Result<Load, HarnessError> {
+    let entries = vec![fleet.entry_addr(0)?.into(), fleet.entry_addr(1)?.into()];
+    let flows = vec![
+        flow("urgent", CLINIC_KEY, chat(10, 60), 6.0, 500),
+        flow("standard", CAFE_KEY, chat(20, 120), 8.0, 2_000),
+        flow("history", CAFE_KEY, chat(100, 300), 3.0, 10_000),
+        flow("orders", CLINIC_KEY, order(), 4.0, 2_000),
+        flow("reads", CAFE_KEY, read(), 4.0, 2_000),
+    ];
+    Ok(Load::builder().entries(entries).flows(flows).build())
+}
+
+fn flow(name: &str, key: &str, what: What, rate_per_s: f64, target_ms: u64) -> Flow {
+    let is_chat = matches!(what, What::Chat { .. });
+    Flow::builder()
+        .name(name)
+        .maybe_class(is_chat.then_some(name))
+        .api_key(key)
+        .what(what)
+        .phases(vec![Phase {
+            from_ms: 0,
+            length_ms: LENGTH.as_millis() as u64,
+            rate_per_s,
+        }])
+        .target_ms(target_ms)
+        .build()
+}
+
+fn chat(tokens_min: u32, tokens_max: u32) -> What {
+    What::Chat {
+        model: ENGINE_MODEL.into(),
+        stream: true,
+        tokens_min,
+        tokens_max,
+        prompt_bytes: 400,
+    }
+}
+
+fn order() -> What {
+    What::Order {
+        route: SERVICE_ROUTE.into(),
+    }
+}
+
+fn read() -> What {
+    What::Read {
+        route: SERVICE_ROUTE.into(),
+    }
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,8 +1,9 @@
 //! Chores of the project: `cargo xtask NAME`.
 
-use std::{path::Path, process::ExitCode};
+use std::{error::Error, path::Path, process::ExitCode};
 
 use clap::{Parser, Subcommand};
+use xtask::{demo, docs, measure};
 
 /// Chores of the project.
 #[derive(Debug, Parser)]
@@ -14,21 +15,30 @@
 
 #[derive(Debug, Subcommand)]
 enum Chore {
+    /// Build everything, run a fleet under load, crash an engine and show
+    /// what the callers saw.
+    Demo,
+    /// Measure the release build; figures go to standard output as JSON.
+    Measure(measure::MeasureArgs),
     /// Renew the pages that are made from the code.
     Docs,
 }
 
 fn main() -> ExitCode {
-    match Cli::parse().chore {
-        Chore::Docs => docs(),
+    let done = match Cli::parse().chore {
+        Chore::Demo => demo::run().map_err(Box::<dyn Error>::from),
+        Chore::Measure(args) => measure::run(&args).map_err(Box::<dyn Error>::from),
+        Chore::Docs => docs::write_pages(root()).map_err(Box::<dyn Error>::from),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("xtask: {error}");
+            ExitCode::FAILURE
+        }
     }
 }
 
-fn docs() -> ExitCode {
-    let root = Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/.."));
-    if let Err(error) = xtask::docs::write_pages(root) {
-        eprintln!("docs: {error}");
-        return ExitCode::FAILURE;
-    }
-    ExitCode::SUCCESS
+fn root() -> &'static Path {
+    Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/.."))
 }
--- /dev/null
+++ b/xtask/src/measure/overhead.rs
@@ -0,0 +1,241 @@
+//! What a request costs on its way through entry and agent.
+//!
+//! Latency is the difference to the same questions asked straight at the
+//! engine, in the same seconds. Throughput is counted against the processor
+//! time that entry and agent use, not against the machine's cores, so that
+//! the load and the engine beside them do not blur it.
+
+use std::{
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        Arc,
+    },
+    time::{Duration, Instant},
+};
+
+use config::{Document, Upstream};
+use futures_lite::future;
+use harness::{
+    args, default_document, Caller, Fleet, FleetPlan, Outcome, Programs, Question, CLINIC_KEY,
+    ENGINE_MODEL, ENGINE_UPSTREAM,
+};
+use serde_json::{json, Value};
+use standins::load::{self, Flow, Load, Phase, What};
+use types::UpstreamName;
+
+use super::MeasureError;
+
+/// Length of the light load.
+const LIGHT_MS: u64 = 15_000;
+/// Requests a second of the light load, on each of the two ways.
+const LIGHT_PER_S: f64 = 80.0;
+/// Length of each throughput run.
+const BUSY: Duration = Duration::from_secs(6);
+/// Short requests under way at once.
+const REQUESTS_AT_ONCE: usize = 32;
+/// Long streams under way at once, when tokens come as fast as they can.
+const STREAMS_AT_ONCE: usize = 8;
+/// Long streams under way at once, when tokens come one by one.
+const PACED_AT_ONCE: usize = 200;
+/// Upstreams that idle processes know.
+const UPSTREAMS_KNOWN: usize = 100;
+/// Time until idle processes have settled.
+const SETTLE: Duration = Duration::from_secs(3);
+
+/// Measures everything, one after another.
+///
+/// # Errors
+///
+/// When a process fails or an answer is not whole.
+pub async fn run(programs: Programs) -> Result<Value, MeasureError> {
+    let unpaced = start(&programs, "--token-ms 0 --batch-max 1024").await?;
+    let mut figures = light(&unpaced).await?;
+    let requests = busy(&unpaced, REQUESTS_AT_ONCE, 1).await?;
+    let tokens = busy(&unpaced, STREAMS_AT_ONCE, 20_000).await?;
+    drop(unpaced);
+    let paced = start(
+        &programs,
+        "--token-ms 10 --batch-max 1024 --batch-slope-permille 0",
+    )
+    .await?;
+    let one_by_one = busy(&paced, PACED_AT_ONCE, 400).await?;
+    drop(paced);
+    figures["requests_per_core_s"] = requests.per_core_s(requests.requests).into();
+    figures["tokens_relayed_per_core_s"] = tokens.per_core_s(tokens.tokens).into();
+    figures["paced_tokens_relayed_per_core_s"] = one_by_one.per_core_s(one_by_one.tokens).into();
+    figures["entry_cpu_share_of_requests"] = requests.entry_share().into();
+    figures["entry_cpu_share_of_tokens"] = tokens.entry_share().into();
+    let (entry_mb, agent_mb) = idle(&programs).await?;
+    figures["entry_rss_mb"] = entry_mb.into();
+    figures["agent_rss_mb"] = agent_mb.into();
+    Ok(figures)
+}
+
+async fn start(programs: &Programs, engine: &str) -> Result<Fleet, MeasureError> {
+    let mut document = default_document();
+    if let Some(upstream) = document.upstreams.get_mut(ENGINE_UPSTREAM) {
+        upstream.running_min = 1024;
+        upstream.running_max = 1024;
+    }
+    let plan = FleetPlan::builder()
+        .programs(programs.clone())
+        .document(document)
+        .engine_args(args(engine))
+        .build();
+    Ok(Fleet::start(plan).await?)
+}
+
+/// Asks the same kind of question through the fleet and straight at the
+/// engine in one run.
+async fn light(fleet: &Fleet) -> Result<Value, MeasureError> {
+    let flow = |name: &str| {
+        let what = What::Chat {
+            model: ENGINE_MODEL.into(),
+            stream: true,
+            tokens_min: 20,
+            tokens_max: 20,
+            prompt_bytes: 400,
+        };
+        let phase = Phase {
+            from_ms: 0,
+            length_ms: LIGHT_MS,
+            rate_per_s: LIGHT_PER_S,
+        };
+        Flow::builder()
+            .name(name)
+            .api_key(CLINIC_KEY)
+            .what(what)
+            .phases(vec![phase])
+            .target_ms(1_000)
+            .build()
+    };
+    let load = |addr: &str, name: &str, seed: u64| {
+        Load::builder()
+            .entries(vec![addr.into()])
+            .flows(vec![flow(name)])
+            .seed(seed)
+            .build()
+    };
+    let through = load(fleet.entry_addr(0)?, "through", 1);
+    let direct = load(fleet.process("engine-0")?.addr(), "direct", 2);
+    let (through_records, direct_records) =
+        future::zip(load::run(&through), load::run(&direct)).await;
+    let through = &load::summarize(&through, &through_records)["through"];
+    let direct = &load::summarize(&direct, &direct_records)["direct"];
+    if through.whole != through.sent || direct.whole != direct.sent {
+        return Err(MeasureError::Invalid(format!(
+            "not every answer was whole: {through:?} {direct:?}"
+        )));
+    }
+    Ok(json!({
+        "added_first_token_p50_ms": rounded(through.first_p50_ms - direct.first_p50_ms),
+        "added_first_token_p99_ms": rounded(through.first_p99_ms - direct.first_p99_ms),
+        "direct_first_token_p50_ms": rounded(direct.first_p50_ms),
+        "direct_first_token_p99_ms": rounded(direct.first_p99_ms),
+        "light_requests": through.sent,
+    }))
+}
+
+/// Work done, and the processor time it took.
+#[derive(Clone, Copy, Debug, Default)]
+struct Work {
+    requests: u64,
+    tokens: u64,
+    entry_cpu: Duration,
+    agent_cpu: Duration,
+}
+
+impl Work {
+    fn per_core_s(&self, count: u64) -> f64 {
+        let cpu_s = (self.entry_cpu + self.agent_cpu).as_secs_f64();
+        (count as f64 / cpu_s.max(0.01)).round()
+    }
+
+    fn entry_share(&self) -> f64 {
+        let cpu_s = (self.entry_cpu + self.agent_cpu).as_secs_f64();
+        rounded(self.entry_cpu.as_secs_f64() / cpu_s.max(0.01))
+    }
+}
+
+/// Keeps `at_once` questions of one length under way.
+async fn busy(fleet: &Fleet, at_once: usize, tokens: u32) -> Result<Work, MeasureError> {
+    let entry = fleet.process("entry-0")?;
+    let agent = fleet.process("agent-0")?;
+    let entry_before = entry.cpu_time()?;
+    let agent_before = agent.cpu_time()?;
+    let deadline = Instant::now() + BUSY;
+    let caller = fleet.caller(0);
+    let counted = Arc::new(AtomicU64::new(0));
+    let mut askers = Vec::new();
+    for _ in 0..at_once {
+        let asker = ask_until(deadline, caller.clone(), tokens, counted.clone());
+        askers.push(async_global_executor::spawn(asker));
+    }
+    for asker in askers {
+        asker.await?;
+    }
+    let requests = counted.load(Ordering::Relaxed);
+    Ok(Work {
+        requests,
+        tokens: requests * u64::from(tokens),
+        entry_cpu: entry.cpu_time()?.saturating_sub(entry_before),
+        agent_cpu: agent.cpu_time()?.saturating_sub(agent_before),
+    })
+}
+
+async fn ask_until(
+    deadline: Instant,
+    caller: Caller,
+    tokens: u32,
+    counted: Arc<AtomicU64>,
+) -> Result<(), MeasureError> {
+    while Instant::now() < deadline {
+        let number = counted.load(Ordering::Relaxed);
+        let question = Question::streamed(format!("question {number} [len={tokens}]"));
+        let reply = caller.ask(&question).await;
+        if reply.outcome != (Outcome::Whole { tokens }) {
+            return Err(MeasureError::Invalid(format!("{reply:?}")));
+        }
+        counted.fetch_add(1, Ordering::Relaxed);
+    }
+    Ok(())
+}
+
+/// Memory of an idle entry and agent that know many upstreams, in megabytes.
+async fn idle(programs: &Programs) -> Result<(f64, f64), MeasureError> {
+    let plan = FleetPlan::builder()
+        .programs(programs.clone())
+        .document(with_many_upstreams(default_document()))
+        .build();
+    let fleet = Fleet::start(plan).await?;
+    for index in 1..UPSTREAMS_KNOWN {
+        let instance = format!("known-{index}");
+        let upstream = format!("upstream-{index}");
+        fleet.list_alias(&instance, "agent-0", &upstream).await?;
+    }
+    smol::Timer::after(SETTLE).await;
+    let megabytes = |name: &str| -> Result<f64, MeasureError> {
+        let bytes = fleet.process(name)?.rss_bytes()?;
+        Ok(rounded(bytes as f64 / 1e6))
+    };
+    Ok((megabytes("entry-0")?, megabytes("agent-0")?))
+}
+
+fn with_many_upstreams(mut document: Document) -> Document {
+    let Some(engines) = document.upstreams.get(ENGINE_UPSTREAM).cloned() else {
+        return document;
+    };
+    for index in 1..UPSTREAMS_KNOWN {
+        let upstream = Upstream {
+            models: vec![format!("model-{index}").into()],
+            ..engines.clone()
+        };
+        let name = UpstreamName::from(format!("upstream-{index}"));
+        document.upstreams.insert(name, upstream);
+    }
+    document
+}
+
+fn rounded(number: f64) -> f64 {
+    (number * 1000.0).round() / 1000.0
+}
