--- a/crates/shared-state/src/lib.rs
+++ b/crates/shared-state/src/lib.rs
@@ -9,6 +9,7 @@
 mod follow;
 mod membership;
 mod serve;
+mod session;
 mod settings;
 mod state;
 mod submit;
@@ -18,9 +19,10 @@
     head_key, parse_head, read_head, read_shards, shard_key, ReadError, StoredHead, HEAD_KIND,
     HEAD_NAME, SHARD_KIND,
 };
-pub use follow::{delay_before_fetch, jittered};
+pub use follow::{delay_before_fetch, jittered, neighbours, NEIGHBOURS_MAX, PEERS_TOLD};
 pub use membership::{Membership, MembershipTracker};
 pub use serve::serve;
+pub use session::{NoSessionId, SessionId};
 pub use settings::Settings;
 pub use state::SharedState;
 pub use submit::{submit, Submission, SubmitError, Submitted};
