--- a/crates/entry/src/answer/sse.rs
+++ b/crates/entry/src/answer/sse.rs
@@ -137,7 +137,10 @@
             }
             self.tokens += 1;
         } else if event == TERMINATOR {
-            self.finishing = true;
+            // Without the finishing event before it, this ends no answer.
+            if !self.finishing {
+                return Err(EventError::BrokenOff);
+            }
             self.terminated = true;
         } else if memmem::find(event, FINISH_REASON).is_some() {
             self.finishing = true;
--- a/crates/entry/tests/attempts.rs
+++ b/crates/entry/tests/attempts.rs
@@ -201,6 +201,11 @@
 /// answer after the first must never look whole.
 #[rstest]
 #[case::no_terminator(agent::tokens("r", 0, 3))]
+#[case::no_finishing_event({
+    let mut pieces = agent::tokens("r", 0, 3);
+    pieces.push(Piece::Bytes(b"data: [DONE]\n\n".to_vec()));
+    pieces
+})]
 #[case::missing_token({
     let mut pieces = agent::tokens("r", 0, 3);
     pieces.extend(agent::whole("r", 4, 8));
@@ -262,3 +267,33 @@
         assert_eq!(dispatches(&agents).len(), 1);
     });
 }
+
+/// An agent that said that it leaves gets nothing new from this entry, although
+/// the list still has it.
+#[rstest]
+#[case::in_a_reply(None)]
+#[case::in_a_refusal(Some(Reaction::Refuse(ErrorCode::Draining, Verdict::NotRun)))]
+fn a_leaving_agent_gets_nothing_new(#[case] reaction: Option<Reaction>) {
+    run(async {
+        let agents = FakeAgent::group(2, reaction.clone().into_iter().collect()).await;
+        for agent in &agents {
+            if reaction.is_none() {
+                agent.say_leaving();
+            }
+        }
+        let instances = agents.iter().map(|one| one.instance("carving")).collect();
+        let bench = bench(instances).await;
+        answered(bench.chat(false)).await;
+        let mut met: Vec<_> = agents.iter().map(|one| one.dispatches()).collect();
+        met.iter_mut()
+            .for_each(|one| one.retain(|(meta, _)| meta.attempt == 1));
+        let leaving = usize::from(met[0].is_empty());
+        agents[1 - leaving].stay();
+
+        for _ in 0..10 {
+            assert_eq!(answered(bench.chat(false)).await.0, 200);
+        }
+
+        assert_eq!(agents[leaving].dispatches().len(), 1);
+    });
+}
--- a/crates/entry/tests/support/agent.rs
+++ b/crates/entry/tests/support/agent.rs
@@ -150,6 +150,10 @@
         self.state.lock().unwrap().leaving = true;
     }
 
+    pub fn stay(&self) {
+        self.state.lock().unwrap().leaving = false;
+    }
+
     /// Bodies that were given up before their end.
     pub fn dropped_bodies(&self) -> u32 {
         self.state.lock().unwrap().dropped_bodies
