--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -4,7 +4,7 @@
 
 use config::Document;
 use indexmap::IndexMap;
-use platform::HttpPlatform;
+use platform::{HttpPlatform, Instance};
 use serde_json::{json, Value};
 use shared_state::{SessionId, Submission};
 use standins::{
@@ -377,6 +377,17 @@
         Ok(())
     }
 
+    /// Adds a line to the instance list that belongs to no process of the fleet.
+    ///
+    /// # Errors
+    ///
+    /// When the platform does not answer.
+    pub async fn list_instance(&self, instance: &Instance) -> Result<(), HarnessError> {
+        // A struct of names: serialization can't fail.
+        let line = serde_json::to_value(instance).unwrap_or_default();
+        self.list_line(&line).await
+    }
+
     /// Takes a process off the platform's list.
     ///
     /// # Errors
--- a/xtask/src/measure/mod.rs
+++ b/xtask/src/measure/mod.rs
@@ -3,6 +3,8 @@
 //! To add one: a module with `run(programs) -> Result<Value, MeasureError>`, a
 //! variant of [`Measurement`], and its line in [`Measurement::run`].
 
+pub mod capacity;
+pub mod fit;
 pub mod overhead;
 
 use std::{fs, path::PathBuf};
@@ -18,6 +20,8 @@
 pub enum Measurement {
     /// What a request costs on its way through entry and agent.
     Overhead,
+    /// What control costs a process, by the size of fleet and configuration.
+    Capacity,
 }
 
 /// Which measurement, and where its figures go.
@@ -57,6 +61,7 @@
     async fn run(self, programs: Programs) -> Result<Value, MeasureError> {
         match self {
             Measurement::Overhead => overhead::run(programs).await,
+            Measurement::Capacity => capacity::run(programs).await,
         }
     }
 }
