--- a/crates/harness/tests/standins.rs
+++ b/crates/harness/tests/standins.rs
@@ -93,6 +93,7 @@
 #[case::truncated(json!({"truncate_at_token": 5}), "Broken")]
 #[case::truncated_as_if_whole(json!({"truncate_at_token": 5, "clean_end": true}), "Corrupt")]
 #[case::repeated(json!({"repeat_token": 5}), "Corrupt")]
+#[case::skipped(json!({"skip_token": 5}), "Corrupt")]
 #[case::crashed(json!({"crash_at_token": 5}), "Broken")]
 #[case::dropped(json!({"drop_before_first_token": true}), "NoAnswer")]
 fn a_caller_sees_every_fault_of_an_engine(#[case] faults: Value, #[case] seen: &str) -> Checked {
--- a/crates/standins/src/caller/exchange.rs
+++ b/crates/standins/src/caller/exchange.rs
@@ -8,6 +8,8 @@
 use futures_lite::{AsyncReadExt, FutureExt};
 use serde_json::json;
 use trillium_client::{Client, Conn, Method};
+use trillium_http::Upgrade;
+use trillium_server_common::Transport;
 use trillium_smol::ClientConfig;
 use types::ErrorBody;
 
@@ -246,6 +248,33 @@
     }
 }
 
+/// A connection with an answer on it. If the answer is given up, the
+/// connection is closed: the client library would read the rest in the
+/// background, and nobody would notice that the caller has gone.
+struct Closing(Option<Conn>);
+
+impl Closing {
+    /// The connection with the answer.
+    fn conn(&mut self) -> Result<&mut Conn, Outcome> {
+        self.0.as_mut().ok_or_else(|| Outcome::NoAnswer {
+            reason: "the answer was read twice".into(),
+        })
+    }
+
+    /// Keeps the connection: the answer was read to its end.
+    fn keep(mut self) {
+        drop(self.0.take());
+    }
+}
+
+impl Drop for Closing {
+    fn drop(&mut self) {
+        if let Some(conn) = self.0.take() {
+            drop(Upgrade::<Box<dyn Transport>>::from(conn));
+        }
+    }
+}
+
 /// What one exchange has come to so far.
 struct Progress {
     check: Option<StreamCheck>,
@@ -273,16 +302,21 @@
     }
 
     /// Sends a request; the answer's head, or what went wrong.
-    async fn send(&mut self, conn: Conn) -> Result<Conn, Outcome> {
-        let mut conn = conn.await.map_err(|error| Outcome::NoAnswer {
+    async fn send(&mut self, conn: Conn) -> Result<Closing, Outcome> {
+        let conn = conn.await.map_err(|error| Outcome::NoAnswer {
             reason: error.to_string(),
         })?;
         let status = conn.status().map_or(0, |status| status as u16);
+        let mut closing = Closing(Some(conn));
         if status == 200 {
-            return Ok(conn);
+            return Ok(closing);
         }
         self.first_after = Some(self.started.elapsed());
-        self.body = conn.response_body().read_string().await.unwrap_or_default();
+        let body = closing.conn()?.response_body().read_string().await;
+        if let Ok(body) = body {
+            self.body = body;
+            closing.keep();
+        }
         let detail = serde_json::from_str::<ErrorBody>(&self.body).map(|body| body.error);
         let detail = detail.ok();
         Err(Outcome::Refused {
@@ -294,19 +328,10 @@
     }
 
     async fn stream(&mut self, conn: Conn) -> Outcome {
-        let mut conn = match self.send(conn).await {
-            Ok(conn) => conn,
+        let clean = match self.read_stream(conn).await {
+            Ok(clean) => clean,
             Err(outcome) => return outcome,
         };
-        let mut body = conn.response_body().with_max_len(u64::MAX);
-        let mut buffer = vec![0; READ_BYTES];
-        let clean = loop {
-            match body.read(&mut buffer).await {
-                Ok(0) => break Ok(()),
-                Ok(size) => self.take(&buffer[..size]),
-                Err(error) => break Err(error.to_string()),
-            }
-        };
         match self.check.take() {
             Some(check) => check.finish(clean),
             None => Outcome::NoAnswer {
@@ -315,6 +340,23 @@
         }
     }
 
+    /// Reads a streamed answer to its end, which is clean or not.
+    async fn read_stream(&mut self, conn: Conn) -> Result<Result<(), String>, Outcome> {
+        let mut closing = self.send(conn).await?;
+        let mut body = closing.conn()?.response_body().with_max_len(u64::MAX);
+        let mut buffer = vec![0; READ_BYTES];
+        loop {
+            match body.read(&mut buffer).await {
+                Ok(0) => break,
+                Ok(size) => self.take(&buffer[..size]),
+                Err(error) => return Ok(Err(error.to_string())),
+            }
+        }
+        drop(body);
+        closing.keep();
+        Ok(Ok(()))
+    }
+
     fn take(&mut self, bytes: &[u8]) {
         if let Some(check) = &mut self.check {
             check.take(bytes);
@@ -357,19 +399,18 @@
 
     /// Reads an answer that comes in one piece; returns its echoed request id.
     async fn read_body(&mut self, conn: Conn) -> Result<String, Outcome> {
-        let mut conn = self.send(conn).await?;
+        let mut closing = self.send(conn).await?;
         self.first_after = Some(self.started.elapsed());
-        let echoed = conn
-            .response_headers()
-            .get_str("x-request-id")
-            .unwrap_or_default()
-            .to_string();
+        let conn = closing.conn()?;
+        let echoed = conn.response_headers().get_str("x-request-id");
+        let echoed = echoed.unwrap_or_default().to_string();
         let body = conn.response_body().with_max_len(u64::MAX);
         self.body = body.read_string().await.map_err(|error| Outcome::Broken {
             tokens: 0,
             code: None,
             reason: error.to_string(),
         })?;
+        closing.keep();
         Ok(echoed)
     }
 }
--- a/crates/standins/src/engine/faults.rs
+++ b/crates/standins/src/engine/faults.rs
@@ -18,10 +18,12 @@
     pub crossed: bool,
     /// Answers end before the token of this index.
     pub truncate_at_token: Option<u32>,
-    /// Truncated answers end with `[DONE]`.
+    /// Truncated answers end with `[DONE]`, without the finishing event.
     pub clean_end: bool,
     /// The token of this index is sent twice.
     pub repeat_token: Option<u32>,
+    /// The token of this index is not sent.
+    pub skip_token: Option<u32>,
     /// Whether orders with an old fencing number are refused; overrides the setting.
     pub fencing: Option<bool>,
     /// Age of a load report, in milliseconds; overrides the setting.
--- a/crates/standins/src/engine/stream.rs
+++ b/crates/standins/src/engine/stream.rs
@@ -80,6 +80,7 @@
     answer: Answer,
 }
 
+const DONE: &[u8] = b"data: [DONE]\n\n";
 const BEFORE_INDEX: &[u8] = b",\"token_index\":";
 const BETWEEN: &[u8] = b",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"";
 const AFTER: &[u8] = b"\"},\"finish_reason\":null}]}\n\n";
@@ -139,7 +140,7 @@
         }
         if faults.truncate_at_token.is_some_and(|at| index >= at) {
             if faults.clean_end {
-                self.push_end(index);
+                self.bytes.extend_from_slice(DONE);
                 return self.end(Phase::Ended);
             }
             return self.end(Phase::Cut);
@@ -148,7 +149,9 @@
             self.push_end(index);
             return self.end(Phase::Ended);
         }
-        self.push_token(index);
+        if faults.skip_token != Some(index) {
+            self.push_token(index);
+        }
         if faults.repeat_token == Some(index) && !self.repeated {
             self.repeated = true;
         } else {
