--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -12,13 +12,10 @@
 use rpc::DispatchReply;
 use shared_state::SharedState;
 use telemetry::events::AgentEvent;
-use types::{Fingerprint, Generation, InstanceId};
+use types::Fingerprint;
 
 use crate::{clock::Clock, gate::Gate, meters::Meters, settings::Settings, upstream::Upstream};
 
-/// Slack on the age of a request that a recall may refer to, in milliseconds.
-const RECALL_SLACK_MS: u64 = 30_000;
-
 /// The state of one agent.
 #[derive(Debug)]
 pub(crate) struct Agent {
@@ -63,10 +60,10 @@
     /// Makes an agent that holds no request.
     pub(crate) fn new(settings: Settings, shared: Arc<SharedState>) -> Self {
         let clock = Clock::new();
-        let (schedule, horizon_ms) = schedule_settings(&settings, &shared);
+        let schedule = schedule_settings(&settings, &shared);
         Self {
             clock,
-            gate: Gate::new(clock, schedule, horizon_ms),
+            gate: Gate::new(clock, schedule),
             upstream: Upstream::new(settings.upstream_addr.clone()),
             shared,
             in_flight: InFlight::default(),
@@ -78,18 +75,8 @@
 
     /// Applies the configuration in force to the scheduler.
     pub(crate) fn reconfigure(&self) {
-        let (schedule, horizon_ms) = schedule_settings(&self.settings, &self.shared);
-        self.gate.reconfigure(schedule, horizon_ms);
-    }
-
-    /// Notes what a message says about its sender's configuration.
-    pub(crate) fn note_peer(&self, sender: &InstanceId, generation: Generation) {
-        if generation <= self.shared.config().generation {
-            return;
-        }
-        if let Some(peer) = self.shared.membership().find(sender) {
-            self.shared.on_peer_generation(&peer.addr, generation);
-        }
+        let schedule = schedule_settings(&self.settings, &self.shared);
+        self.gate.reconfigure(schedule);
     }
 
     /// What every answer to an entry says about this agent.
@@ -133,9 +120,8 @@
     }
 }
 
-/// The scheduler's settings from the configuration in force, and the age up
-/// to which a recall may refer to a request.
-fn schedule_settings(settings: &Settings, shared: &SharedState) -> (ScheduleSettings, u64) {
+/// The scheduler's settings from the configuration in force.
+fn schedule_settings(settings: &Settings, shared: &SharedState) -> ScheduleSettings {
     let snapshot = shared.config();
     let document = &snapshot.document;
     let upstream = document.upstreams.get(&settings.upstream);
@@ -149,7 +135,7 @@
         (name.clone(), rules)
     });
     let weights = document.teams.iter().filter(|(_, team)| team.weight != 1);
-    let schedule = ScheduleSettings::builder()
+    ScheduleSettings::builder()
         .discipline(settings.discipline)
         .running_min(upstream.map_or(1, |upstream| upstream.running_min))
         .running_max(upstream.map_or(1, |upstream| upstream.running_max))
@@ -160,8 +146,5 @@
                 .map(|(name, team)| (name.clone(), team.weight))
                 .collect(),
         )
-        .build();
-    let deadlines = document.classes.values().map(|class| class.deadline_ms);
-    let horizon_ms = 2 * deadlines.max().unwrap_or_default() + RECALL_SLACK_MS;
-    (schedule, horizon_ms)
+        .build()
 }
--- a/crates/agent/src/calls.rs
+++ b/crates/agent/src/calls.rs
@@ -5,7 +5,7 @@
 use policy::schedule::Recall;
 use rpc::{
     methods::{
-        Answered, Call, Drain, ExchangeEvidence, GetConfig, GetStatus, RecallAnswer, RecallParams,
+        Answered, Call, Drain, ExchangeEvidence, GetStatus, RecallAnswer, RecallParams,
         RecallRequest, Status,
     },
     MethodError, Methods,
@@ -17,7 +17,9 @@
 
 /// The methods that an agent serves.
 pub(crate) fn methods(agent: Arc<Agent>) -> Methods<Arc<Agent>> {
-    Methods::new(agent)
+    let instance = agent.settings.instance.clone();
+    let shared = agent.shared.clone();
+    let methods = Methods::new(agent)
         .with::<RecallRequest, _, _>(|call, agent| async move {
             note(&agent, &call);
             let recall = recall(&agent, &call);
@@ -27,10 +29,6 @@
             note(&agent, &call);
             answered(&agent, status(&agent))
         })
-        .with::<GetConfig, _, _>(|call, agent| async move {
-            note(&agent, &call);
-            answered(&agent, None)
-        })
         .with::<ExchangeEvidence, _, _>(|call, agent| async move {
             note(&agent, &call);
             let now = agent.clock.now();
@@ -44,11 +42,14 @@
             note(&agent, &call);
             agent.drain();
             answered(&agent, ())
-        })
+        });
+    shared_state::serve(methods, instance, shared)
 }
 
 fn note<P>(agent: &Agent, call: &Call<P>) {
-    agent.note_peer(&call.sender, call.generation);
+    agent
+        .shared
+        .on_sender_generation(&call.sender, call.generation);
 }
 
 fn answered<A>(agent: &Agent, answer: A) -> Served<A> {
@@ -76,6 +77,6 @@
         in_flight: u32::try_from(agent.gate.held()).unwrap_or(u32::MAX),
         load: Some(agent.load()),
         upstreams: Vec::new(),
-        membership_age_ms: 0,
+        membership_age_ms: agent.shared.membership_age_ms(),
     }
 }
--- a/crates/agent/src/dispatch.rs
+++ b/crates/agent/src/dispatch.rs
@@ -55,7 +55,9 @@
         Err(refusal) => return refuse(conn, &agent, None, &refusal),
     };
     let request_id = meta.request_id.clone();
-    agent.note_peer(&meta.sender, meta.generation);
+    agent
+        .shared
+        .on_sender_generation(&meta.sender, meta.generation);
     let outcome = match admit(&agent, meta, body) {
         Ok(outcome) => outcome,
         Err(refusal) => return refuse(conn, &agent, Some(&request_id), &refusal),
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -6,10 +6,8 @@
 //! carries them out without the lock.
 
 mod request;
-mod started;
 
 pub(crate) use request::{Interrupt, Queued, Request, Started};
-pub(crate) use started::StartedMemory;
 
 use std::{
     collections::VecDeque,
@@ -54,7 +52,6 @@
 struct Inner {
     scheduler: Scheduler,
     held: IndexMap<RequestId, Sender<Command>>,
-    started: StartedMemory,
     draining: bool,
     crash_epoch: u64,
 }
@@ -69,11 +66,16 @@
 
 impl Gate {
     /// Makes a gate without requests.
-    pub(crate) fn new(clock: Clock, settings: Settings, recall_horizon_ms: u64) -> Arc<Self> {
+    ///
+    /// A process before this one may have started what this one does not
+    /// know: until the recall window has passed, a recall of an unknown
+    /// request is not confirmed.
+    pub(crate) fn new(clock: Clock, settings: Settings) -> Arc<Self> {
+        let mut scheduler = Scheduler::new(settings);
+        scheduler.distrust_unknown_until(clock.now() + Scheduler::RECALL_WINDOW_MS);
         let inner = Inner {
-            scheduler: Scheduler::new(settings),
+            scheduler,
             held: IndexMap::new(),
-            started: StartedMemory::new(clock.now(), recall_horizon_ms),
             draining: false,
             crash_epoch: 0,
         };
@@ -108,19 +110,10 @@
     /// Takes back a request that has not started; with `cancel`, stops one
     /// that has.
     ///
-    /// An id that is not held is only `Recalled` where the memory of started
-    /// requests reaches back far enough to prove that it never started.
     pub(crate) fn recall(&self, request_id: &RequestId, cancel: bool) -> Recall {
         let now = self.clock.now();
         let mut inner = self.lock();
-        let is_held = inner.held.contains_key(request_id);
         let recall = inner.scheduler.recall(now, request_id);
-        if !is_held {
-            return match inner.started.may_have_started(now, request_id) {
-                true => Recall::AlreadyStarted,
-                false => recall,
-            };
-        }
         match recall {
             Recall::Recalled => inner.tell_refused(request_id, ErrorCode::Recalled, 0),
             Recall::AlreadyStarted if cancel => inner.tell(request_id, Command::Cancel),
@@ -146,16 +139,14 @@
     pub(crate) fn tick(&self) {
         let now = self.clock.now();
         let mut inner = self.lock();
-        inner.started.forget_old(now);
         let actions = inner.scheduler.tick(now, rand::random());
         inner.carry_out(now, actions);
     }
 
     /// Applies a new configuration.
-    pub(crate) fn reconfigure(&self, settings: Settings, recall_horizon_ms: u64) {
+    pub(crate) fn reconfigure(&self, settings: Settings) {
         let now = self.clock.now();
         let mut inner = self.lock();
-        inner.started.set_horizon(recall_horizon_ms);
         let actions = inner.scheduler.reconfigure(now, settings);
         inner.carry_out(now, actions);
     }
@@ -261,7 +252,6 @@
                         actions.extend(self.scheduler.on_end(now, &request_id, End::Cancelled));
                         continue;
                     }
-                    self.started.note(now, &request_id);
                     self.tell(&request_id, Command::Start { engine_priority });
                 }
                 Action::Refuse {
--- a/crates/agent/tests/recall.rs
+++ b/crates/agent/tests/recall.rs
@@ -5,7 +5,7 @@
 
 use policy::schedule::Recall;
 use rstest::rstest;
-use support::{completion, engine_and_agent, hang_up, Entry};
+use support::{completion, engine_and_agent, hang_up, Entry, Reading};
 use types::{ErrorCode, Verdict};
 
 #[test]
@@ -66,26 +66,60 @@
     });
 }
 
-#[rstest]
-#[case::before_the_first_token(0)]
-#[case::within_the_answer(3)]
-fn a_recall_with_cancel_stops_the_engine(#[case] tokens: u32) {
+#[test]
+fn a_request_that_arrives_after_its_recall_is_refused() {
+    smol::block_on(async {
+        let (engine, agent) = engine_and_agent(1).await;
+        let entry = Entry::of(&agent);
+
+        entry.recall("r-1", false).await;
+        let answer = entry.dispatch(&completion("r-1")).await;
+
+        let error = answer.error().error;
+        assert_eq!(
+            (error.code, error.verdict),
+            (ErrorCode::Recalled, Verdict::NotRun)
+        );
+        assert!(engine.is_quiet().await);
+    });
+}
+
+#[test]
+fn a_recall_with_cancel_stops_the_engine_before_the_first_token() {
     smol::block_on(async {
         let (engine, agent) = engine_and_agent(1).await;
         let entry = Entry::of(&agent);
         let dispatch = entry.begin(completion("r-1"));
         let mut arrived = engine.next().await;
-        arrived.begin().tokens(tokens);
+        arrived.begin();
 
         let recall = entry.recall("r-1", true).await;
         let answer = dispatch.await;
 
         assert_eq!(recall, Recall::AlreadyStarted);
         assert_eq!(engine.next_cancel().await, "r-1");
-        match tokens {
-            0 => assert_eq!(answer.error().error.verdict, Verdict::MayHaveRun),
-            _ => assert!(!answer.is_whole),
-        }
+        assert_eq!(answer.error().error.verdict, Verdict::MayHaveRun);
+        arrived.closed().await;
+        entry.until_load(0, 0).await;
+    });
+}
+
+#[test]
+fn a_recall_with_cancel_stops_the_engine_within_the_answer() {
+    smol::block_on(async {
+        let (engine, agent) = engine_and_agent(1).await;
+        let entry = Entry::of(&agent);
+        let head = entry.begin_head(completion("r-1"));
+        let mut arrived = engine.next().await;
+        arrived.begin().tokens(3);
+        let reading = Reading::of(head.await).until_token(3).await;
+
+        let recall = entry.recall("r-1", true).await;
+        let answer = reading.until_end().await;
+
+        assert_eq!(recall, Recall::AlreadyStarted);
+        assert_eq!(engine.next_cancel().await, "r-1");
+        assert!(!answer.is_whole);
         arrived.closed().await;
         entry.until_load(0, 0).await;
     });
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -21,6 +21,7 @@
 
 pub const SECRET: &str = "a secret of the test's own";
 pub const CLASS: &str = "bench";
+pub const URGENT: &str = "clinic";
 pub const UPSTREAM: &str = "carving";
 
 /// Bound on every wait of a test.
@@ -46,8 +47,8 @@
 }
 
 pub fn document(kind: UpstreamKind, running_max: u32) -> Document {
-    let class = Class {
-        priority: 10,
+    let class = |priority| Class {
+        priority,
         first_token_target_ms: 500,
         token_gap_target_ms: 0,
         deadline_ms: 1_000,
@@ -70,7 +71,9 @@
         idempotent: true,
     };
     Document {
-        classes: [(CLASS.into(), class)].into_iter().collect(),
+        classes: [(CLASS.into(), class(10)), (URGENT.into(), class(200))]
+            .into_iter()
+            .collect(),
         teams: [("fitters".into(), team)].into_iter().collect(),
         upstreams: [(UPSTREAM.into(), upstream)].into_iter().collect(),
         ..Document::default()
@@ -127,6 +130,13 @@
     }
 }
 
+pub fn urgent(request_id: &str) -> DispatchMeta {
+    DispatchMeta {
+        class: URGENT.into(),
+        ..completion(request_id)
+    }
+}
+
 pub fn call(request_id: &str, method: &str, path: &str) -> DispatchMeta {
     DispatchMeta {
         target: Target::Call {
