--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -1,10 +1,18 @@
 //! What the agent's tasks share.
 
-use std::sync::{
-    atomic::{AtomicUsize, Ordering},
-    Arc, Mutex, MutexGuard, PoisonError,
+use std::{
+    fmt,
+    sync::{
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+        Arc, Mutex, MutexGuard, PoisonError,
+    },
 };
 
+use crate::{
+    clock::Clock, gate::Gate, meters::Meters, notify::Notify, settings::Settings,
+    upstream::Upstream,
+};
+use platform::ObjectStore;
 use policy::{
     quarantine::SuspectMemory,
     schedule::{ClassRules, LoadReport, Settings as ScheduleSettings},
@@ -12,12 +20,8 @@
 use rpc::DispatchReply;
 use shared_state::SharedState;
 use telemetry::events::AgentEvent;
-use types::Fingerprint;
-
-use crate::{clock::Clock, gate::Gate, meters::Meters, settings::Settings, upstream::Upstream};
 
 /// The state of one agent.
-#[derive(Debug)]
 pub(crate) struct Agent {
     pub(crate) settings: Settings,
     pub(crate) clock: Clock,
@@ -26,6 +30,12 @@
     pub(crate) shared: Arc<SharedState>,
     pub(crate) in_flight: InFlight,
     pub(crate) meters: Meters,
+    pub(crate) store: Arc<dyn ObjectStore>,
+    pub(crate) peers: rpc::Client,
+    /// Set when there is evidence that the store does not have.
+    pub(crate) has_new_evidence: Notify,
+    /// Whether earlier evidence was looked for; until then nothing is taken.
+    is_informed: AtomicBool,
     suspects: Mutex<SuspectMemory>,
 }
 
@@ -50,6 +60,14 @@
     }
 }
 
+impl fmt::Debug for Agent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Agent")
+            .field("settings", &self.settings)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::Relaxed);
@@ -58,7 +76,12 @@
 
 impl Agent {
     /// Makes an agent that holds no request.
-    pub(crate) fn new(settings: Settings, shared: Arc<SharedState>) -> Self {
+    pub(crate) fn new(
+        settings: Settings,
+        shared: Arc<SharedState>,
+        store: Arc<dyn ObjectStore>,
+    ) -> Self {
+        let secrets = settings.secrets.clone();
         let clock = Clock::new();
         let schedule = schedule_settings(&settings, &shared);
         Self {
@@ -68,6 +91,10 @@
             shared,
             in_flight: InFlight::default(),
             meters: Meters::new(),
+            store,
+            peers: rpc::Client::new(settings.instance.clone(), secrets),
+            has_new_evidence: Notify::new(),
+            is_informed: AtomicBool::new(false),
             suspects: Mutex::new(SuspectMemory::new()),
             settings,
         }
@@ -108,10 +135,24 @@
         }
     }
 
-    /// Notes a whole answer.
-    pub(crate) fn on_whole(&self, fingerprint: Fingerprint) {
-        let now = self.clock.now();
-        self.suspects().on_whole(now, fingerprint);
+    /// Whether the agent may take requests: it is configured, and has looked
+    /// for evidence that an earlier process left.
+    pub(crate) fn is_informed(&self) -> bool {
+        self.is_informed.load(Ordering::Acquire)
+    }
+
+    /// Notes that earlier evidence was looked for.
+    pub(crate) fn set_informed(&self) {
+        self.is_informed.store(true, Ordering::Release);
+    }
+
+    /// Whether the configuration in force names the agent's upstream.
+    pub(crate) fn is_configured(&self) -> bool {
+        let snapshot = self.shared.config();
+        snapshot
+            .document
+            .upstreams
+            .contains_key(&self.settings.upstream)
     }
 
     /// The memory of suspected contents.
--- a/crates/agent/src/calls.rs
+++ b/crates/agent/src/calls.rs
@@ -19,7 +19,7 @@
 pub(crate) fn methods(agent: Arc<Agent>) -> Methods<Arc<Agent>> {
     let instance = agent.settings.instance.clone();
     let shared = agent.shared.clone();
-    let methods = Methods::new(agent)
+    shared_state::serve(Methods::new(agent), instance, shared)
         .with::<RecallRequest, _, _>(|call, agent| async move {
             note(&agent, &call);
             let recall = recall(&agent, &call);
@@ -42,8 +42,7 @@
             note(&agent, &call);
             agent.drain();
             answered(&agent, ())
-        });
-    shared_state::serve(methods, instance, shared)
+        })
 }
 
 fn note<P>(agent: &Agent, call: &Call<P>) {
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -185,15 +185,15 @@
         }
     }
 
-    /// Counts a crash that was seen by a request of `running`; `None` when
-    /// another request of the same set has counted it. Otherwise its number.
-    pub(crate) fn count_crash(&self, running: &RunningSet) -> Option<u64> {
+    /// Counts a crash that was seen by a request of `running`; `false` when
+    /// another request of the same set has counted it.
+    pub(crate) fn count_crash(&self, running: &RunningSet) -> bool {
         let mut inner = self.lock();
-        if inner.crash_epoch != running.epoch {
-            return None;
+        let is_first = inner.crash_epoch == running.epoch;
+        if is_first {
+            inner.crash_epoch += 1;
         }
-        inner.crash_epoch += 1;
-        Some(inner.crash_epoch)
+        is_first
     }
 
     fn on_tokens(&self, request_id: &RequestId, tokens: u32) {
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -4,14 +4,17 @@
 #![allow(dead_code, unreachable_pub, unused_imports)]
 
 mod engine;
+mod store;
 
 pub use engine::{token_event, usage_event, Arrived, Engine, Part};
 
+pub use store::Store;
+
 use std::{sync::Arc, time::Duration};
 
 use config::{Class, Document, Snapshot, Team, Upstream, UpstreamKind};
 use futures_lite::FutureExt;
-use platform::HttpPlatform;
+use platform::{HttpPlatform, Instance};
 use rpc::{DispatchMeta, DispatchReply, PeerSecrets, Target};
 use serde_json::{json, Value};
 use shared_state::SharedState;
@@ -100,8 +103,26 @@
 
 /// Starts an agent in front of an engine, with room for `running_max` requests.
 pub async fn start(settings: agent::Settings, document: Document) -> agent::Running {
-    let shared = SharedState::fixed(Snapshot::new(Generation(7), document), Vec::new());
-    agent::start(settings, shared).await.unwrap()
+    start_with(settings, document, Vec::new(), Store::new()).await
+}
+
+/// Starts an agent that knows others and has a store; returns once it is ready.
+pub async fn start_with(
+    settings: agent::Settings,
+    document: Document,
+    others: Vec<Instance>,
+    store: Arc<Store>,
+) -> agent::Running {
+    let shared = SharedState::fixed(Snapshot::new(Generation(7), document), others);
+    let running = agent::start(settings, shared, store).await.unwrap();
+    let entry = Entry::of(&running);
+    soon("a ready agent", async {
+        while entry.get("/readyz").await.0 != 200 {
+            smol::Timer::after(Duration::from_millis(5)).await;
+        }
+    })
+    .await;
+    running
 }
 
 pub async fn engine_and_agent(running_max: u32) -> (Engine, agent::Running) {
