--- a/crates/agent/src/refusal.rs
+++ b/crates/agent/src/refusal.rs
@@ -71,6 +71,7 @@
         }
         ErrorCode::MalformedRequest => "the body is not a JSON object; correct it",
         ErrorCode::BodyTooLarge => "the body exceeds the configured limit; send less",
+        ErrorCode::NoUpstream => "the request has to run alone; send it again",
         ErrorCode::UpstreamFailed => "the upstream instance can't be reached; retry",
         _ => "the request was refused before it started",
     }
