--- a/crates/limpetgw/tests/at_most_once.rs
+++ b/crates/limpetgw/tests/at_most_once.rs
@@ -54,7 +54,7 @@
         class.deadline_ms = DEADLINE_MS;
     }
     let plan = FleetPlan::builder()
-        .document(Some(document))
+        .document(document)
         .entries(2)
         .engines(0)
         .services(2)
