--- a/crates/agent/src/calls.rs
+++ b/crates/agent/src/calls.rs
@@ -46,7 +46,9 @@
 }
 
 fn note<P>(agent: &Agent, call: &Call<P>) {
-    agent.note_peer(&call.sender, call.generation);
+    agent
+        .shared
+        .on_sender_generation(&call.sender, call.generation);
 }
 
 fn answered<A>(agent: &Agent, answer: A) -> Served<A> {
--- a/crates/agent/src/dispatch.rs
+++ b/crates/agent/src/dispatch.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Instant};
 
-use policy::schedule::{Job, LoadReport};
+use policy::schedule::{End, Job, LoadReport};
 use rpc::{DispatchMeta, Target, DISPATCH_HEADER, REPLY_HEADER, UPSTREAM_STATUS_HEADER};
 use smol::channel::{bounded, Receiver, Sender};
 use trillium::{Body, Conn, Status};
@@ -44,6 +44,14 @@
     }
 }
 
+/// A request as the entry sent it.
+#[derive(Debug)]
+struct Dispatch {
+    meta: DispatchMeta,
+    body: Vec<u8>,
+    run_alone: bool,
+}
+
 /// Serves a dispatch.
 pub(crate) async fn serve(mut conn: Conn, agent: Arc<Agent>) -> Conn {
     if !rpc::is_from_peer(&conn, &agent.settings.secrets) {
@@ -55,7 +63,9 @@
         Err(refusal) => return refuse(conn, &agent, None, &refusal),
     };
     let request_id = meta.request_id.clone();
-    agent.note_peer(&meta.sender, meta.generation);
+    agent
+        .shared
+        .on_sender_generation(&meta.sender, meta.generation);
     let outcome = match admit(&agent, meta, body) {
         Ok(outcome) => outcome,
         Err(refusal) => return refuse(conn, &agent, Some(&request_id), &refusal),
@@ -100,28 +110,33 @@
     check_configured(agent, &meta)?;
     check_body(&meta, &body)?;
     let load = agent.load();
-    let job = job(agent, &meta);
-    let run_alone = job.run_alone;
+    let run_alone = agent.must_run_alone(meta.fingerprint)? || meta.suspect;
+    let job = job(agent, &meta, run_alone);
     let request = agent.gate.submit(job)?;
     agent.note_queued(&meta, run_alone, &load);
     let (sender, outcome) = bounded(1);
-    let task = run(agent.clone(), request, meta, body, EntrySide(sender));
+    let dispatch = Dispatch {
+        meta,
+        body,
+        run_alone,
+    };
+    let task = run(agent.clone(), request, dispatch, EntrySide(sender));
     async_global_executor::spawn(task).detach();
     Ok(outcome)
 }
 
-async fn run(
-    agent: Arc<Agent>,
-    request: Request<Queued>,
-    meta: DispatchMeta,
-    body: Vec<u8>,
-    entry: EntrySide,
-) {
+async fn run(agent: Arc<Agent>, request: Request<Queued>, dispatch: Dispatch, entry: EntrySide) {
     let queued_at = Instant::now();
     let started = match request.admitted().await {
         Ok(started) => started,
         Err(refusal) => return entry.refuse(refusal),
     };
+    let standing = check_again(&agent, &dispatch);
+    let Dispatch { meta, body, .. } = dispatch;
+    if let Err(refusal) = standing {
+        started.finish(End::Cancelled);
+        return entry.refuse(refusal);
+    }
     let (queued, priority) = (queued_at.elapsed(), started.engine_priority());
     agent.note_started(&meta.request_id, queued, priority, meta.resume_from);
     match meta.target {
@@ -146,12 +161,20 @@
     }
 }
 
+/// Looks at the content's standing again, since it may have crashed another
+/// upstream while it was queued here. Nothing has been sent yet.
+fn check_again(agent: &Agent, dispatch: &Dispatch) -> Result<(), Refusal> {
+    let must_run_alone = agent.must_run_alone(dispatch.meta.fingerprint)?;
+    match must_run_alone && !dispatch.run_alone {
+        true => Err(Refusal::not_run(ErrorCode::NoUpstream)),
+        false => Ok(()),
+    }
+}
+
 fn check_configured(agent: &Agent, meta: &DispatchMeta) -> Result<(), Refusal> {
     let snapshot = agent.shared.config();
-    let document = &snapshot.document;
-    let is_known = document.upstreams.contains_key(&agent.settings.upstream)
-        && document.classes.contains_key(&meta.class);
-    match is_known {
+    let is_known = snapshot.document.classes.contains_key(&meta.class);
+    match is_known && agent.is_configured() && agent.is_informed() {
         true => Ok(()),
         false => Err(Refusal::not_run(ErrorCode::NotConfigured)),
     }
@@ -165,13 +188,13 @@
     Ok(())
 }
 
-fn job(agent: &Agent, meta: &DispatchMeta) -> Job {
+fn job(agent: &Agent, meta: &DispatchMeta, run_alone: bool) -> Job {
     Job {
         request_id: meta.request_id.clone(),
         team: meta.team.clone(),
         class: meta.class.clone(),
         fingerprint: meta.fingerprint,
-        run_alone: meta.suspect,
+        run_alone,
         resumable: matches!(meta.target, Target::Completion { .. }),
         prompt_tokens: meta.prompt_tokens,
         max_tokens: meta.max_tokens,
