--- a/crates/entry/src/answer/form.rs
+++ b/crates/entry/src/answer/form.rs
@@ -45,7 +45,7 @@
         if self == AnswerForm::Call {
             let read = read_call(answer).await;
             match &read {
-                Ok(_) => session.log_finished(0, 0),
+                Ok(_) => session.log_answered(),
                 Err(failure) => session.log_failed(failure),
             }
             return read;
--- a/crates/entry/src/answer/relay.rs
+++ b/crates/entry/src/answer/relay.rs
@@ -135,6 +135,7 @@
         let taken_in = self.splitter.filled(count);
         let now = self.clock.now();
         let tokens = self.splitter.tokens() - tokens_before;
+        self.clock.meters.tokens(tokens);
         if let State::Reading(reading) = &mut self.state {
             reading.probe = None;
             if tokens > 0 && self.first_token_ms.is_none() {
@@ -281,6 +282,7 @@
         if matches!(self.state, State::Whole | State::Failed(_)) {
             return;
         }
+        self.clock.meters.caller_gone();
         emit(&EntryEvent::CallerGone {
             request_id: self.request_id.clone(),
             tokens: self.splitter.tokens(),
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -11,7 +11,7 @@
 use shared_state::SharedState;
 use types::{ClassName, RequestId, TimeMs};
 
-use crate::{attempt::Transport, lifecycle::Lifecycle, pools::Pools, Settings};
+use crate::{attempt::Transport, lifecycle::Lifecycle, meters::Meters, pools::Pools, Settings};
 
 /// The places of requests in this entry.
 pub(crate) struct Places {
@@ -48,6 +48,7 @@
     pub(crate) transport: Transport,
     pub(crate) pools: Pools,
     pub(crate) lifecycle: Lifecycle,
+    pub(crate) meters: Meters,
     pub(crate) gate: Mutex<Places>,
     pub(crate) suspects: Mutex<SuspectMemory>,
     budgets: Mutex<IndexMap<ClassName, RetryBudget>>,
@@ -61,6 +62,7 @@
             transport: Transport::new(settings.secrets.clone()),
             pools: Pools::new(&settings),
             lifecycle: Lifecycle::default(),
+            meters: Meters::new(),
             gate: Mutex::new(Places::new(in_flight_max)),
             suspects: Mutex::new(SuspectMemory::new()),
             budgets: Mutex::new(IndexMap::new()),
--- a/crates/entry/src/attempt/session.rs
+++ b/crates/entry/src/attempt/session.rs
@@ -202,6 +202,7 @@
             .retry_after(NO_UPSTREAM_WAIT_MS));
         };
         self.attempts += 1;
+        self.app.meters.attempted();
         emit(&EntryEvent::UpstreamChosen {
             request_id: self.request.request_id.clone(),
             attempt: self.attempts,
@@ -330,6 +331,9 @@
         let Some(instance) = self.excluded.last() else {
             return;
         };
+        self.app
+            .meters
+            .attempt_failed(failure.code, failure.verdict);
         emit(&EntryEvent::AttemptFailed {
             request_id: self.request.request_id.clone(),
             attempt: self.attempts,
@@ -339,9 +343,19 @@
         });
     }
 
+    /// Logs that a plain service's whole answer was read.
+    pub(crate) fn log_answered(&self) {
+        self.log_finished(0, self.app.now().since(self.request.received_at));
+    }
+
     /// Logs that a whole answer was read.
     pub(crate) fn log_finished(&self, tokens: u32, first_token_ms: u64) {
         lock(&self.app.suspects).on_whole(self.app.now(), self.request.fingerprint);
+        self.app.meters.finished(
+            &self.request.class,
+            first_token_ms,
+            self.request.first_token_target_ms,
+        );
         emit(&EntryEvent::RequestFinished {
             request_id: self.request.request_id.clone(),
             class: self.request.class.clone(),
@@ -354,6 +368,7 @@
 
     /// Logs that the request ends without a whole answer.
     pub(crate) fn log_failed(&self, failure: &Failure) {
+        self.app.meters.failed(failure.code, failure.verdict);
         emit(&EntryEvent::RequestFailed {
             request_id: self.request.request_id.clone(),
             code: failure.code,
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -48,7 +48,7 @@
 ) -> Conn {
     let filtered = match filter(&app, &mut conn, &request_id).await {
         Ok(filtered) => filtered,
-        Err(failure) => return refuse(conn, &request_id, &failure),
+        Err(failure) => return refuse(&app, conn, &request_id, &failure),
     };
     let Filtered {
         request,
@@ -151,6 +151,7 @@
         prompt_tokens: chat.prompt_tokens,
         max_tokens: chat.max_tokens,
         prefix_hash: chat.prefix_hash,
+        first_token_target_ms: classed.first_token_target_ms,
         received_at,
         deadline: received_at + classed.deadline.as_millis() as u64,
     };
@@ -163,7 +164,8 @@
 }
 
 /// Answers and logs a request that did not pass the filters.
-pub(crate) fn refuse(conn: Conn, request_id: &RequestId, failure: &Failure) -> Conn {
+pub(crate) fn refuse(app: &App, conn: Conn, request_id: &RequestId, failure: &Failure) -> Conn {
+    app.meters.refused(failure.code);
     emit(&EntryEvent::RequestRefused {
         request_id: request_id.clone(),
         code: failure.code,
--- a/crates/entry/src/filters/classify.rs
+++ b/crates/entry/src/filters/classify.rs
@@ -41,5 +41,6 @@
         class: name.clone(),
         priority: Priority(class.priority),
         deadline: Duration::from_millis(class.deadline_ms),
+        first_token_target_ms: class.first_token_target_ms,
     })
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod filters;
 mod head_guard;
 mod lifecycle;
+mod meters;
 mod models;
 mod once;
 mod operator;
--- a/crates/entry/src/models.rs
+++ b/crates/entry/src/models.rs
@@ -15,7 +15,7 @@
     let config = app.shared.config();
     let checked = check_head(&conn).and_then(|()| identify(&conn, &config));
     if let Err(failure) = checked {
-        return refuse(conn, request_id, &failure);
+        return refuse(app, conn, request_id, &failure);
     }
     let upstreams = config.document.upstreams.values();
     let models: Vec<_> = upstreams
--- a/crates/entry/src/once/run.rs
+++ b/crates/entry/src/once/run.rs
@@ -153,6 +153,7 @@
 }
 
 fn log_claim(session: &Session, result: &str) {
+    session.app.meters.claimed(result);
     emit(&EntryEvent::Claimed {
         request_id: session.request.request_id.clone(),
         team: session.request.team.clone(),
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -26,6 +26,7 @@
 pub(crate) fn handler(app: Arc<App>, drain: DrainHandle) -> impl Handler {
     let secrets = app.settings.secrets.clone();
     let ready_app = app.clone();
+    let metrics_app = app.clone();
     let instance = app.settings.instance.clone();
     let shared = app.shared.clone();
     let methods = Methods::new(Served { app, drain });
@@ -53,8 +54,11 @@
             let app = ready_app.clone();
             async move { routes::ready(&app, conn) }
         })
-        .get("/metrics", |conn: Conn| async move {
-            conn.ok(telemetry::render_metrics())
+        .get("/metrics", move |conn: Conn| {
+            metrics_app
+                .meters
+                .in_flight(metrics_app.lifecycle.in_flight());
+            async move { conn.ok(telemetry::render_metrics()) }
         })
         .post(rpc::RPC_PATH, methods.into_handler(secrets))
 }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -11,6 +11,7 @@
     pub(crate) class: ClassName,
     pub(crate) priority: Priority,
     pub(crate) deadline: Duration,
+    pub(crate) first_token_target_ms: u64,
 }
 
 /// A request that may be dispatched.
@@ -30,6 +31,8 @@
     pub(crate) max_tokens: u32,
     /// Hash of the prompt's prefix for cache affinity; 0 for none.
     pub(crate) prefix_hash: u64,
+    /// Target of the class for the first token, in milliseconds.
+    pub(crate) first_token_target_ms: u64,
     pub(crate) received_at: TimeMs,
     pub(crate) deadline: TimeMs,
 }
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -32,7 +32,12 @@
             ErrorCode::Draining,
             "this entry is stopping; send the request again, the balancer picks another one",
         );
-        return refuse(conn, &request_id, &failure.retry_after(DRAINING_WAIT_MS));
+        return refuse(
+            &app,
+            conn,
+            &request_id,
+            &failure.retry_after(DRAINING_WAIT_MS),
+        );
     };
     route(app, conn, request_id, in_flight).await
 }
@@ -51,7 +56,7 @@
                 ErrorCode::UnknownRoute,
                 "there is `POST /v1/chat/completions`, `GET /v1/models` and `/services/NAME/...`",
             );
-            refuse(conn, &request_id, &failure)
+            refuse(&app, conn, &request_id, &failure)
         }
     }
 }
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -68,7 +68,7 @@
         once,
     } = match filter(&app, &mut conn, &request_id).await {
         Ok(filtered) => filtered,
-        Err(failure) => return refuse(conn, &request_id, &failure),
+        Err(failure) => return refuse(&app, conn, &request_id, &failure),
     };
     let claimant = once.map(|once| Claimant::new(&app, &request, &once.route, &once.key));
     let store = app.store.clone();
@@ -99,7 +99,7 @@
         };
         match read {
             Ok(answer) => {
-                session.log_finished(0, 0);
+                session.log_answered();
                 return Ok(answer);
             }
             Err(cut) => opened = session.reopen(0, cut).await,
@@ -141,7 +141,10 @@
     let suspect = check_quarantine(app, fingerprint)?;
     let place = admit(app, &classed)?;
     let Classed {
-        class, deadline, ..
+        class,
+        deadline,
+        first_token_target_ms,
+        ..
     } = classed;
     let request = Request {
         request_id: request_id.clone(),
@@ -156,6 +159,7 @@
         prompt_tokens: 0,
         max_tokens: 0,
         prefix_hash: 0,
+        first_token_target_ms,
         received_at,
         deadline: received_at + deadline.as_millis() as u64,
     };
--- /dev/null
+++ b/crates/entry/tests/metrics.rs
@@ -0,0 +1,34 @@
+//! What `/metrics` shows, and what it must not show.
+
+mod support;
+
+use rstest::rstest;
+use support::{answered, bench, run, FakeAgent, API_KEY, SECRET};
+
+#[rstest]
+fn metrics_count_requests_and_hold_no_secret() {
+    run(async {
+        telemetry::init_metrics();
+        let agent = FakeAgent::start("a-1", vec![]).await;
+        let bench = bench(vec![agent.instance("carving")]).await;
+        answered(bench.chat(false)).await;
+        answered(bench.post("/v1/chat/completions", "{")).await;
+
+        let mut conn = bench.get_operator("/metrics").await.unwrap();
+        let text = conn.response_body().read_string().await.unwrap();
+
+        for line in [
+            "limpetgw_entry_tokens_total 8",
+            "limpetgw_entry_attempts_total 1",
+            "limpetgw_entry_answers_total{class=\"bench\",attained=\"true\"} 1",
+            "limpetgw_entry_refusals_total{code=\"malformed_request\"} 1",
+            "limpetgw_entry_in_flight_requests 0",
+            "limpetgw_entry_first_token_seconds_count{class=\"bench\"} 1",
+        ] {
+            assert!(text.contains(line), "{line} is missing in\n{text}");
+        }
+        for secret in [API_KEY, SECRET, &config::key_digest(API_KEY)] {
+            assert!(!text.contains(secret), "{text}");
+        }
+    });
+}
