--- a/crates/limpetgw/src/cli/entry.rs
+++ b/crates/limpetgw/src/cli/entry.rs
@@ -7,6 +7,9 @@
 
 use super::{common::CommonArgs, CliError};
 
+/// Seconds of an hour.
+const SECONDS_PER_HOUR: u64 = 3_600;
+
 /// Rule that chooses an upstream instance.
 #[derive(Clone, Copy, Debug, Default, ValueEnum)]
 enum RuleArg {
@@ -46,6 +49,10 @@
     /// Time for which a draining entry still answers new requests, in milliseconds.
     #[arg(long, env = "LIMPETGW_BALANCER_LAG_MS", default_value_t = 2_000, value_parser = clap::value_parser!(u64).range(0..=600_000))]
     balancer_lag_ms: u64,
+    /// Time for which the outcome of a request that runs at most once is kept, in hours; its
+    /// idempotency key counts as new afterwards.
+    #[arg(long, env = "LIMPETGW_CLAIM_RETENTION_H", default_value_t = 48, value_parser = clap::value_parser!(u64).range(1..=8_760))]
+    claim_retention_h: u64,
 }
 
 impl EntryArgs {
@@ -74,6 +81,9 @@
             .subset_max(usize::from(self.subset_max))
             .request_timeout(Duration::from_millis(self.request_timeout_ms))
             .balancer_lag(Duration::from_millis(self.balancer_lag_ms))
+            .claim_retention(Duration::from_secs(
+                self.claim_retention_h * SECONDS_PER_HOUR,
+            ))
             .build();
         self.common.start_telemetry();
         Ok(entry::run(settings).await?)
