Keep the silent fake agent's task alive

The fake waits on a future that nothing can wake; the executor frees such a task, which drops its connection. Ruled out: the entry (the end of file comes from the fake's side) and ports used twice.

--- a/crates/entry/tests/support/agent.rs
+++ b/crates/entry/tests/support/agent.rs
@@ -170,7 +170,7 @@
                     state.recall
                 };
                 let Some(recall) = recall else {
-                    return std::future::pending().await;
+                    return forever().await;
                 };
                 Ok(Answered {
                     sender,
@@ -183,7 +183,7 @@
             let sender: types::InstanceId = status_name.as_str().into();
             async move {
                 if state.lock().unwrap().deaf {
-                    return std::future::pending().await;
+                    return forever().await;
                 }
                 Ok(Answered {
                     sender: sender.clone(),
@@ -214,6 +214,14 @@
         .into_handler(super::secrets())
 }
 
+/// Never ends. A timer keeps the task alive: the executor frees a task that
+/// nothing can wake, which would close its connection.
+async fn forever<T>() -> T {
+    loop {
+        smol::Timer::after(std::time::Duration::from_secs(3_600)).await;
+    }
+}
+
 async fn dispatched(mut conn: Conn, state: Arc<Mutex<State>>, name: &str) -> Conn {
     let secrets = super::secrets();
     if !rpc::is_from_peer(&conn, &secrets) {
@@ -262,7 +270,7 @@
                 Some(1_000_000),
             ))
             .halt(),
-        Reaction::Silent => std::future::pending().await,
+        Reaction::Silent => forever().await,
         Reaction::Freeze(pieces) => {
             {
                 let mut state = state.lock().unwrap();
@@ -270,7 +278,7 @@
                 state.recall = None;
             }
             if pieces.is_empty() {
-                return std::future::pending().await;
+                return forever().await;
             }
             let hanging = pieces.into_iter().chain([Piece::Hang]).collect();
             conn.with_status(Status::Ok)
