--- a/crates/shared-state/src/membership.rs
+++ b/crates/shared-state/src/membership.rs
@@ -90,8 +90,13 @@
 }
 
 impl MembershipTracker {
-    /// Takes in an answer of the platform or of a peer; whether the view changed.
+    /// Takes in an answer of the platform or of a peer; whether the view
+    /// changed. An empty list is ignored: this process runs, so the platform
+    /// must have lost its list.
     pub fn on_list(&mut self, list: InstanceList) -> bool {
+        if list.instances.is_empty() {
+            return false;
+        }
         if list.version < self.list.version && self.older_in_a_row < OLDER_LISTS_IGNORED {
             self.older_in_a_row += 1;
             return false;
