--- a/xtask/src/measure/mod.rs
+++ b/xtask/src/measure/mod.rs
@@ -4,6 +4,10 @@
 //! variant of [`Measurement`], and its line in [`Measurement::run`].
 
 pub mod overhead;
+mod rivals;
+pub mod short_behind_long;
+pub mod stragglers;
+pub mod surge;
 
 use std::{fs, path::PathBuf};
 
@@ -18,6 +22,12 @@
 pub enum Measurement {
     /// What a request costs on its way through entry and agent.
     Overhead,
+    /// Everyone calls in the same second after a power cut.
+    Surge,
+    /// Short questions while long plans fill every engine.
+    ShortBehindLong,
+    /// Some engines slower in turns, load reports late.
+    Stragglers,
 }
 
 /// Which measurement, and where its figures go.
@@ -57,6 +67,9 @@
     async fn run(self, programs: Programs) -> Result<Value, MeasureError> {
         match self {
             Measurement::Overhead => overhead::run(programs).await,
+            Measurement::Surge => surge::run(programs).await,
+            Measurement::ShortBehindLong => short_behind_long::run(programs).await,
+            Measurement::Stragglers => stragglers::run(programs).await,
         }
     }
 }
