--- a/xtask/src/measure/mod.rs
+++ b/xtask/src/measure/mod.rs
@@ -6,6 +6,10 @@
 pub mod capacity;
 pub mod fit;
 pub mod overhead;
+mod rivals;
+pub mod short_behind_long;
+pub mod stragglers;
+pub mod surge;
 
 use std::{fs, path::PathBuf};
 
@@ -22,6 +26,12 @@
     Overhead,
     /// What control costs a process, by the size of fleet and configuration.
     Capacity,
+    /// Everyone calls in the same second after a power cut.
+    Surge,
+    /// Short questions while long plans fill every engine.
+    ShortBehindLong,
+    /// Some engines slower in turns, load reports late.
+    Stragglers,
 }
 
 /// Which measurement, and where its figures go.
@@ -62,6 +72,9 @@
         match self {
             Measurement::Overhead => overhead::run(programs).await,
             Measurement::Capacity => capacity::run(programs).await,
+            Measurement::Surge => surge::run(programs).await,
+            Measurement::ShortBehindLong => short_behind_long::run(programs).await,
+            Measurement::Stragglers => stragglers::run(programs).await,
         }
     }
 }
