--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -1,7 +1,7 @@
 //! What all requests of one entry share.
 
 use std::{
-    sync::{Arc, Mutex},
+    sync::{atomic::AtomicU64, Arc, Mutex},
     time::Instant,
 };
 
@@ -51,6 +51,8 @@
     pub(crate) meters: Meters,
     pub(crate) gate: Mutex<Places>,
     pub(crate) suspects: Mutex<SuspectMemory>,
+    /// Claims made since the last sweep.
+    pub(crate) claims_made: AtomicU64,
     budgets: Mutex<IndexMap<ClassName, RetryBudget>>,
     origin: Instant,
 }
@@ -65,6 +67,7 @@
             meters: Meters::new(),
             gate: Mutex::new(Places::new(in_flight_max)),
             suspects: Mutex::new(SuspectMemory::new()),
+            claims_made: AtomicU64::new(0),
             budgets: Mutex::new(IndexMap::new()),
             origin: Instant::now(),
             shared: parts.shared,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -27,6 +27,7 @@
 
 pub use answer::sse::{EventError, EventSplitter};
 pub use filters::{chat_body, request_id};
+pub use once::sweep_once;
 pub use server::{serve, DrainHandle, Parts, Running};
 pub use settings::Settings;
 
--- a/crates/entry/src/once/mod.rs
+++ b/crates/entry/src/once/mod.rs
@@ -12,3 +12,4 @@
 pub(crate) use key::{idempotency_key, Claimant, IDEMPOTENCY_KEY_HEADER};
 pub(crate) use run::run_once;
 pub(crate) use sweep::sweep_claims;
+pub use sweep::sweep_once;
--- a/crates/entry/src/once/run.rs
+++ b/crates/entry/src/once/run.rs
@@ -1,6 +1,9 @@
 //! Runs a claimed request to its end, whether or not its caller still waits.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{atomic::Ordering, Arc},
+    time::Duration,
+};
 
 use coord::claim::{Outcome, KEPT_ANSWER_MAX_BYTES};
 use platform::ObjectStore;
@@ -68,6 +71,7 @@
         }
     };
     log_claim(&session, "owned");
+    session.app.claims_made.fetch_add(1, Ordering::Relaxed);
     let _held = session.hold();
     let result = run(session, form).await;
     let settling = match &result {
--- a/crates/entry/src/once/sweep.rs
+++ b/crates/entry/src/once/sweep.rs
@@ -1,37 +1,56 @@
 //! Deletes claims that are older than the time for which they are kept.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{atomic::Ordering, Arc},
+    time::Duration,
+};
 
 use coord::{claim::CLAIM_KIND, ReadResult};
 use platform::{Condition, Key, Listed, ObjectStore};
 
 use super::steps::read;
-use crate::unix_time::unix_ms;
+use crate::{app::App, unix_time::unix_ms};
 
-/// Claims that one sweep looks at; every entry picks its own at random, so
-/// that together they get round without agreeing on anything.
-const SWEEP_MAX: usize = 64;
+/// Claims that one sweep looks at, beside those for the entry's own. Every
+/// entry picks at random, so that together they get round without agreeing on
+/// anything.
+const LOOKS_MIN: u64 = 64;
+/// Looks for each claim that this entry has made since its last sweep. With 4,
+/// old claims come to be at most a third of those that are kept.
+const LOOKS_PER_CLAIM: u64 = 4;
 /// Pause between two looks, which bounds the rate of store calls.
-const SWEEP_PAUSE: Duration = Duration::from_secs(2);
+const LOOK_PAUSE: Duration = Duration::from_millis(200);
 /// Mean time between two sweeps.
 const SWEEP_INTERVAL_MS: u64 = 600_000;
 
 /// Sweeps for as long as the process lives.
-pub(crate) async fn sweep_claims(store: Arc<dyn ObjectStore>, retention: Duration) {
+pub(crate) async fn sweep_claims(app: Arc<App>) {
+    let retention = app.settings.claim_retention;
     loop {
         let wait_ms = SWEEP_INTERVAL_MS / 2 + rand::random_range(0..SWEEP_INTERVAL_MS);
         smol::Timer::after(Duration::from_millis(wait_ms)).await;
-        sweep_once(&store, retention, SWEEP_PAUSE).await;
+        let made = app.claims_made.swap(0, Ordering::Relaxed);
+        let looks = LOOKS_MIN + LOOKS_PER_CLAIM * made;
+        sweep_once(&app.store, retention, looks, LOOK_PAUSE).await;
     }
 }
 
-/// Looks at some claims and deletes the old ones.
-async fn sweep_once(store: &Arc<dyn ObjectStore>, retention: Duration, pause: Duration) {
+/// Looks at some claims, picked at random, and deletes those that are older
+/// than `retention`. Waits for `pause` between two looks.
+pub async fn sweep_once(
+    store: &Arc<dyn ObjectStore>,
+    retention: Duration,
+    looks: u64,
+    pause: Duration,
+) {
     let Ok(claims) = store.list(CLAIM_KIND).await else {
         return;
     };
     let count = claims.len();
-    for _ in 0..SWEEP_MAX.min(count) {
+    if count == 0 {
+        return;
+    }
+    for _ in 0..looks.min(count as u64) {
         let claim = &claims[rand::random_range(0..count)];
         sweep_claim(store, claim, retention).await;
         smol::Timer::after(pause).await;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -76,8 +76,7 @@
         guard,
         operator::handler(app.clone(), drain),
     );
-    let sweep = sweep_claims(app.store.clone(), app.settings.claim_retention);
-    async_global_executor::spawn(sweep).detach();
+    async_global_executor::spawn(sweep_claims(app.clone())).detach();
     async_global_executor::spawn(exchange_now_and_then(app.clone())).detach();
     emit(&EntryEvent::Listening {
         instance: app.settings.instance.clone(),
--- a/crates/entry/tests/once.rs
+++ b/crates/entry/tests/once.rs
@@ -424,6 +424,46 @@
     });
 }
 
+#[rstest]
+fn old_claims_are_swept_and_young_ones_kept() {
+    run(async {
+        const HOUR: Duration = Duration::from_secs(3_600);
+        let store = Arc::new(FakeStore::default());
+        let now_unix_ms = std::time::UNIX_EPOCH.elapsed().unwrap().as_millis() as u64;
+        let ages = [("old", 2 * HOUR), ("young", HOUR / 2)];
+        for (age, number) in ages.iter().flat_map(|age| (0..5).map(move |n| (age, n))) {
+            let record = ClaimRecord {
+                nonce: "n".into(),
+                owner: "entry-0".into(),
+                content: Fingerprint::of("", b""),
+                created_unix_ms: now_unix_ms - age.1.as_millis() as u64,
+                deadline_ms: 1,
+                outcome: None,
+            };
+            let key = Key::new(CLAIM_KIND, &format!("{}-{number}", age.0));
+            let value = serde_json::to_value(&record).unwrap();
+            store.put(&key, &value, Condition::Absent).await.unwrap();
+        }
+        let claims: Arc<dyn ObjectStore> = store.clone();
+
+        let old = || {
+            store
+                .objects()
+                .keys()
+                .any(|key| key.name.starts_with("old"))
+        };
+        for _ in 0..200 {
+            if !old() {
+                break;
+            }
+            entry::sweep_once(&claims, HOUR, 64, Duration::ZERO).await;
+        }
+
+        assert!(!old());
+        assert_eq!(store.objects().len(), 5);
+    });
+}
+
 #[rstest]
 fn a_drain_waits_for_a_run_whose_caller_is_gone() {
     run(async {
