Entry: give up a caller that takes nothing of its answer

The server waits for the caller's window without a bound, and the relay is not polled meanwhile, so its deadline did not hold either: one caller that stopped reading held an engine's slot for ever. Seen red with the bound switched off (a_caller_that_does_not_read_is_given_up).

--- a/crates/entry/src/head_guard.rs
+++ b/crates/entry/src/head_guard.rs
@@ -1,7 +1,8 @@
-//! Bounds the time and size of a request's head on callers' connections.
+//! Bounds what a caller may hold by being slow, on its connection.
 //!
 //! The HTTP library hands a request on once its head is complete, so a caller
-//! that never completes one is only seen here.
+//! that never completes one is only seen here; so is one that takes nothing of
+//! its answer, which would otherwise hold an upstream's slot for ever.
 
 use std::{
     future::Future,
@@ -51,6 +52,7 @@
             inner: input,
             timeout: self.timeout,
             phase: Phase::Idle,
+            stalled: None,
         })
     }
 
@@ -81,9 +83,27 @@
     inner: T,
     timeout: Duration,
     phase: Phase,
+    /// Runs out when the caller has taken nothing for too long.
+    stalled: Option<Timer>,
 }
 
 impl<T: Transport> Guarded<T> {
+    /// Fails a write that has waited too long for the caller.
+    fn watch_write<R>(
+        &mut self,
+        cx: &mut Context<'_>,
+        wrote: Poll<io::Result<R>>,
+    ) -> Poll<io::Result<R>> {
+        if wrote.is_ready() {
+            self.stalled = None;
+            return wrote;
+        }
+        let timeout = self.timeout;
+        let timer = self.stalled.get_or_insert_with(|| Timer::after(timeout));
+        ready!(Pin::new(timer).poll(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+
     fn on_read(&mut self, bytes: &[u8]) {
         if matches!(self.phase, Phase::Idle) {
             self.phase = Phase::Head {
@@ -174,7 +194,8 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.phase = Phase::Idle;
-        Pin::new(&mut self.inner).poll_write(cx, buf)
+        let wrote = Pin::new(&mut self.inner).poll_write(cx, buf);
+        self.watch_write(cx, wrote)
     }
 
     fn poll_write_vectored(
@@ -183,7 +204,8 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.phase = Phase::Idle;
-        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+        let wrote = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
+        self.watch_write(cx, wrote)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -31,7 +31,8 @@
     /// Instances of one upstream that this entry uses at most.
     #[builder(default = 16)]
     pub subset_max: usize,
-    /// Longest wait for a caller to send its whole request.
+    /// Longest wait for a caller to send its whole request, or to take any more
+    /// of its answer.
     #[builder(default = Duration::from_secs(10))]
     pub request_timeout: Duration,
     /// How long new requests are still refused politely after a drain begins,
--- a/crates/entry/tests/time.rs
+++ b/crates/entry/tests/time.rs
@@ -145,6 +145,35 @@
     });
 }
 
+/// A caller that takes nothing of its answer does not hold the upstream.
+#[rstest]
+fn a_caller_that_does_not_read_is_given_up() {
+    run(async {
+        const TOKENS: u32 = 100_000;
+        let pieces = agent::tokens("r", 0, TOKENS);
+        let agent = FakeAgent::start("a-1", vec![Reaction::Answer(pieces)]).await;
+        let bench = bench(vec![agent.instance("carving")]).await;
+        let body = chat_body("m", true);
+        let head = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nx-request-id: req-6\r\nauthorization: Bearer {API_KEY}\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let mut caller = TcpStream::connect(bench.running.addr).await.unwrap();
+        caller.write_all(head.as_bytes()).await.unwrap();
+
+        // The caller stays connected and reads nothing, well within the
+        // deadline of its class.
+        let asked = Instant::now();
+        eventually("the work is cancelled", || {
+            agent.recalls().contains(&"req-6".to_owned())
+        })
+        .await;
+
+        assert!(asked.elapsed() < Duration::from_secs(4));
+        drop(caller);
+    });
+}
+
 #[rstest]
 fn a_drain_cuts_off_nothing_and_ends() {
     run(async {
--- a/crates/limpetgw/src/cli/entry.rs
+++ b/crates/limpetgw/src/cli/entry.rs
@@ -43,7 +43,8 @@
     /// Instances of one upstream that this entry uses at most.
     #[arg(long, env = "LIMPETGW_SUBSET_MAX", default_value_t = 16, value_parser = clap::value_parser!(u16).range(1..=256))]
     subset_max: u16,
-    /// Longest wait for a caller's whole request, in milliseconds.
+    /// Longest wait for a caller that sends its request or takes its answer too slowly, in
+    /// milliseconds.
     #[arg(long, env = "LIMPETGW_REQUEST_TIMEOUT_MS", default_value_t = 10_000, value_parser = clap::value_parser!(u64).range(100..=600_000))]
     request_timeout_ms: u64,
     /// Time for which a draining entry still answers new requests, in milliseconds.
