--- a/crates/limpetgw/tests/whole_path.rs
+++ b/crates/limpetgw/tests/whole_path.rs
@@ -139,6 +139,7 @@
 
 #[rstest]
 #[case::crossed(r#"{"crossed": true}"#)]
+#[case::crossed_events(r#"{"crossed_events": true}"#)]
 #[case::truncated(r#"{"truncate_at_token": 5}"#)]
 #[case::truncated_as_if_whole(r#"{"truncate_at_token": 5, "clean_end": true}"#)]
 #[case::repeated(r#"{"repeat_token": 5}"#)]
@@ -171,6 +172,7 @@
 
 #[rstest]
 #[case::crossed(r#"{"crossed": true}"#)]
+#[case::crossed_events(r#"{"crossed_events": true}"#)]
 #[case::truncated(r#"{"truncate_at_token": 5, "clean_end": true}"#)]
 #[case::repeated(r#"{"repeat_token": 5}"#)]
 #[case::skipped(r#"{"skip_token": 5}"#)]
--- a/crates/standins/src/engine/faults.rs
+++ b/crates/standins/src/engine/faults.rs
@@ -16,6 +16,9 @@
     pub crash_on_prompt: Option<String>,
     /// Answers carry another request's id and content.
     pub crossed: bool,
+    /// The events of answers carry another request's id and content, the
+    /// header the own id.
+    pub crossed_events: bool,
     /// Answers end before the token of this index.
     pub truncate_at_token: Option<u32>,
     /// Truncated answers end with `[DONE]`, without the finishing event.
@@ -33,6 +36,11 @@
 }
 
 impl Faults {
+    /// Whether events carry another request's id and content.
+    pub(crate) fn cross_events(&self) -> bool {
+        self.crossed || self.crossed_events
+    }
+
     /// Factor on the time between two tokens.
     pub(crate) fn pace_factor(&self) -> f64 {
         if self.slow_factor > 0.0 {
--- a/crates/standins/src/engine/stream.rs
+++ b/crates/standins/src/engine/stream.rs
@@ -89,7 +89,7 @@
     pub(crate) fn new(number: u64, ask: Ask, faults: &Faults) -> Self {
         let mut answer = ask.answer;
         let mut id = ask.request_id.clone();
-        if faults.crossed {
+        if faults.cross_events() {
             answer = answer.crossed();
             id = format!("not-{id}");
         }
