--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -12,6 +12,7 @@
 mod gate;
 mod journal;
 mod meters;
+mod notify;
 mod refusal;
 mod relay;
 mod server;
@@ -24,6 +25,7 @@
 
 use std::sync::Arc;
 
+use platform::ObjectStore;
 use shared_state::SharedState;
 use telemetry::events::AgentEvent;
 
@@ -51,9 +53,10 @@
 pub async fn run(settings: Settings) -> Result<(), RunError> {
     let terminate = stop::on_terminate().map_err(RunError::Signal)?;
     let platform = Arc::new(settings.platform.clone());
+    let store: Arc<dyn ObjectStore> = platform.clone();
     let shared = shared_state::Settings::builder()
         .instance(settings.instance.clone())
-        .store(platform.clone())
+        .store(store.clone())
         .instances(platform)
         .peers(rpc::Client::new(
             settings.instance.clone(),
@@ -62,20 +65,24 @@
         .seeds(settings.seeds.clone())
         .build();
     let instance = settings.instance.clone();
-    let running = start(settings, SharedState::start(shared)).await?;
+    let running = start(settings, SharedState::start(shared), store).await?;
     announce(&instance, &running);
     running.drain_when(terminate);
     running.stopped().await;
     Ok(())
 }
 
-/// Starts an agent on a given shared state.
+/// Starts an agent on a given shared state and store.
 ///
 /// # Errors
 ///
 /// [`RunError`] when it can't listen.
-pub async fn start(settings: Settings, shared: Arc<SharedState>) -> Result<Running, RunError> {
-    let agent = Arc::new(agent::Agent::new(settings, shared));
+pub async fn start(
+    settings: Settings,
+    shared: Arc<SharedState>,
+    store: Arc<dyn ObjectStore>,
+) -> Result<Running, RunError> {
+    let agent = Arc::new(agent::Agent::new(settings, shared, store));
     let (addr, server) = server::start(agent.clone()).await?;
     Ok(Running::new(agent, addr, server))
 }
