--- a/crates/agent/src/evidence/keep.rs
+++ b/crates/agent/src/evidence/keep.rs
@@ -17,8 +17,8 @@
 /// Kind of the objects; each is named after its agent's instance.
 const EVIDENCE_KIND: &str = "crash-evidence";
 
-/// Contents kept in the object at most, so that it stays small.
-const KEPT_MAX: usize = 256;
+/// Rows of evidence kept in the object at most, so that it stays small.
+const KEPT_MAX: usize = 512;
 
 /// Longest wait for evidence at the start.
 const START_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/agent/src/evidence/mod.rs
+++ b/crates/agent/src/evidence/mod.rs
@@ -15,9 +15,14 @@
 
 use policy::quarantine::Standing;
 use telemetry::events::AgentEvent;
-use types::{ErrorCode, Fingerprint, RequestId};
+use types::{ErrorCode, Fingerprint};
 
-use crate::{agent::Agent, refusal::Refusal, upstream::Fault};
+use crate::{
+    agent::Agent,
+    gate::{Request, Started},
+    refusal::Refusal,
+    upstream::Fault,
+};
 
 impl Agent {
     /// Whether a content has to run alone.
@@ -43,23 +48,22 @@
     }
 
     /// Notes a failed exchange with the upstream; when it crashed, everything
-    /// that ran becomes a suspect. The failed request must still be running
-    /// for the scheduler.
-    pub(crate) async fn on_fault(&self, request_id: &RequestId, fault: &Fault) {
+    /// that ran becomes a suspect.
+    pub(crate) async fn on_fault(&self, request: &Request<Started>, fault: &Fault) {
         telemetry::emit(&AgentEvent::UpstreamFault {
-            request_id: request_id.clone(),
+            request_id: request.id().clone(),
             fault: fault.to_string(),
             verdict: fault.verdict(),
         });
         if !fault.may_be_crash() {
             return;
         }
-        let running = self.gate.running_set();
+        let running = self.gate.running_fingerprints();
         if self.upstream.probe().await {
             return;
         }
-        if self.gate.count_crash(&running) {
-            self.on_crash(running.fingerprints);
+        if request.count_crash() {
+            self.on_crash(running);
         }
         // Every failed request waits, so that its entry can't be faster than
         // the evidence.
--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -25,7 +25,11 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Command {
     /// Send the request to the upstream with this priority.
-    Start { engine_priority: u8 },
+    Start {
+        engine_priority: u8,
+        /// Crashes of the upstream counted before this start.
+        crashes_before: u64,
+    },
     /// The request left the scheduler without running.
     Refuse {
         code: ErrorCode,
@@ -53,15 +57,7 @@
     scheduler: Scheduler,
     held: IndexMap<RequestId, Sender<Command>>,
     draining: bool,
-    crash_epoch: u64,
-}
-
-/// What ran at one moment, as evidence should the upstream have crashed.
-#[derive(Clone, Debug)]
-pub(crate) struct RunningSet {
-    epoch: u64,
-    /// Contents that ran.
-    pub(crate) fingerprints: Vec<Fingerprint>,
+    crashes: u64,
 }
 
 impl Gate {
@@ -77,7 +73,7 @@
             scheduler,
             held: IndexMap::new(),
             draining: false,
-            crash_epoch: 0,
+            crashes: 0,
         };
         Arc::new(Self {
             clock,
@@ -176,22 +172,17 @@
         self.lock().scheduler.load(now)
     }
 
-    /// What runs now.
-    pub(crate) fn running_set(&self) -> RunningSet {
-        let inner = self.lock();
-        RunningSet {
-            epoch: inner.crash_epoch,
-            fingerprints: inner.scheduler.running_fingerprints(),
-        }
+    /// Contents that run now, as evidence should the upstream have crashed.
+    pub(crate) fn running_fingerprints(&self) -> Vec<Fingerprint> {
+        self.lock().scheduler.running_fingerprints()
     }
 
-    /// Counts a crash that was seen by a request of `running`; `false` when
-    /// another request of the same set has counted it.
-    pub(crate) fn count_crash(&self, running: &RunningSet) -> bool {
+    /// Counts a crash; `false` when one was counted since `crashes_before`.
+    fn count_crash(&self, crashes_before: u64) -> bool {
         let mut inner = self.lock();
-        let is_first = inner.crash_epoch == running.epoch;
+        let is_first = inner.crashes == crashes_before;
         if is_first {
-            inner.crash_epoch += 1;
+            inner.crashes += 1;
         }
         is_first
     }
@@ -252,7 +243,11 @@
                         actions.extend(self.scheduler.on_end(now, &request_id, End::Cancelled));
                         continue;
                     }
-                    self.tell(&request_id, Command::Start { engine_priority });
+                    let start = Command::Start {
+                        engine_priority,
+                        crashes_before: self.crashes,
+                    };
+                    self.tell(&request_id, start);
                 }
                 Action::Refuse {
                     request_id,
--- a/crates/agent/src/gate/request.rs
+++ b/crates/agent/src/gate/request.rs
@@ -19,8 +19,8 @@
 /// State of a request that holds a running slot.
 #[derive(Debug)]
 pub(crate) struct Started {
-    /// Priority to pass to the engine.
-    pub(crate) engine_priority: u8,
+    engine_priority: u8,
+    crashes_before: u64,
 }
 
 /// State of a request that was stopped at the engine and waits for a slot.
@@ -96,11 +96,18 @@
     pub(crate) async fn admitted(mut self) -> Result<Request<Started>, Refusal> {
         loop {
             match self.ticket.commands.recv().await {
-                Ok(Command::Start { engine_priority }) => {
+                Ok(Command::Start {
+                    engine_priority,
+                    crashes_before,
+                }) => {
+                    let state = Started {
+                        engine_priority,
+                        crashes_before,
+                    };
                     return Ok(Request {
                         ticket: self.ticket,
-                        state: Started { engine_priority },
-                    })
+                        state,
+                    });
                 }
                 Ok(Command::Refuse {
                     code,
@@ -144,6 +151,12 @@
         self.ticket.gate.on_tokens(&self.ticket.request_id, tokens);
     }
 
+    /// Counts a crash of the upstream during this start; `false` when another
+    /// request that ran then has counted it.
+    pub(crate) fn count_crash(&self) -> bool {
+        self.ticket.gate.count_crash(self.state.crashes_before)
+    }
+
     /// Gives up the slot after the engine has stopped the request.
     pub(crate) fn pause(self) -> Request<Paused> {
         self.ticket.gate.on_paused(&self.ticket.request_id);
@@ -165,11 +178,18 @@
     pub(crate) async fn resumed(self) -> Option<Request<Started>> {
         loop {
             match self.ticket.commands.recv().await {
-                Ok(Command::Start { engine_priority }) => {
+                Ok(Command::Start {
+                    engine_priority,
+                    crashes_before,
+                }) => {
+                    let state = Started {
+                        engine_priority,
+                        crashes_before,
+                    };
                     return Some(Request {
                         ticket: self.ticket,
-                        state: Started { engine_priority },
-                    })
+                        state,
+                    });
                 }
                 Ok(Command::Pause) => {}
                 Ok(Command::Cancel | Command::Refuse { .. }) | Err(_) => return None,
--- a/crates/agent/src/relay/call.rs
+++ b/crates/agent/src/relay/call.rs
@@ -51,7 +51,7 @@
             request.finish(End::Whole);
         }
         CallEnd::Failed(fault) => {
-            agent.on_fault(request.id(), &fault).await;
+            agent.on_fault(&request, &fault).await;
             entry.refuse(fault.refusal());
             course.note_end(agent, request.id(), End::Failed);
             request.finish(End::Failed);
--- a/crates/agent/src/relay/completion.rs
+++ b/crates/agent/src/relay/completion.rs
@@ -255,7 +255,7 @@
     }
 
     async fn end_failed(self, request: Request<Started>, fault: &Fault) {
-        self.agent.on_fault(request.id(), fault).await;
+        self.agent.on_fault(&request, fault).await;
         if let Sink::Waiting(entry) = self.sink {
             entry.refuse(fault.refusal());
         }
--- a/crates/agent/src/relay/tests.rs
+++ b/crates/agent/src/relay/tests.rs
@@ -89,11 +89,18 @@
     }
 
     #[test]
-    fn a_cut_answer_does_not_pass(count in 0_u32..12, kept_permille in 0_usize..1000) {
-        let text = answer(0, count).concat();
-        let kept = &text.as_bytes()[..text.len() * kept_permille / 1000];
+    fn a_cut_answer_does_not_pass(
+        count in 0_u32..12,
+        kept_events in 0_usize..14,
+        extra_bytes in prop_oneof![Just(0_usize), 1_usize..20],
+    ) {
+        let events = answer(0, count);
+        let kept_events = kept_events % events.len();
+        let next = &events[kept_events];
+        let extra = &next[..extra_bytes.min(next.len() - 1)];
+        let kept = events[..kept_events].concat() + extra;
 
-        let (_, verdict) = check(0, &[kept]);
+        let (_, verdict) = check(0, &[kept.as_bytes()]);
 
         prop_assert!(verdict.is_err());
     }
--- a/crates/agent/tests/support/engine.rs
+++ b/crates/agent/tests/support/engine.rs
@@ -57,9 +57,13 @@
 
 impl Engine {
     pub async fn start() -> Self {
+        Self::start_at("127.0.0.1:0").await
+    }
+
+    pub async fn start_at(addr: &str) -> Self {
         let (arrived_tx, arrived) = unbounded();
         let (cancelled_tx, cancelled) = unbounded();
-        let listener = smol::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let listener = smol::net::TcpListener::bind(addr).await.unwrap();
         let addr = listener.local_addr().unwrap().to_string();
         let server = trillium_smol::config()
             .without_signals()
@@ -97,6 +101,22 @@
         self.arrived.is_empty()
     }
 
+    /// Stops to listen, and then breaks the answers that it gives, as a
+    /// process does that crashes.
+    pub async fn crash(&self, answers: &mut [&mut Arrived]) {
+        let stopping = self.server.shut_down();
+        soon("the listener to close", async {
+            while smol::net::TcpStream::connect(&self.addr).await.is_ok() {
+                smol::Timer::after(Duration::from_millis(2)).await;
+            }
+        })
+        .await;
+        for answer in answers {
+            answer.cut();
+        }
+        drop(stopping);
+    }
+
     /// Stops to listen and breaks all connections that are not answering.
     pub async fn stop(&self) {
         soon("the end of the fake engine", async {
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -14,7 +14,8 @@
 
 use config::{Class, Document, Snapshot, Team, Upstream, UpstreamKind};
 use futures_lite::FutureExt;
-use platform::{HttpPlatform, Instance};
+use platform::{HttpPlatform, Instance, InstanceState, Role};
+use policy::quarantine::Evidence;
 use rpc::{DispatchMeta, DispatchReply, PeerSecrets, Target};
 use serde_json::{json, Value};
 use shared_state::SharedState;
@@ -106,6 +107,18 @@
     start_with(settings, document, Vec::new(), Store::new()).await
 }
 
+/// An agent's line in the instance list.
+pub fn listed(instance: &str, agent: &agent::Running) -> Instance {
+    Instance {
+        instance: instance.into(),
+        role: Role::Agent,
+        upstream: Some(UPSTREAM.into()),
+        zone: "az-1".into(),
+        addr: agent.addr().to_string().into(),
+        state: InstanceState::Live,
+    }
+}
+
 /// Starts an agent that knows others and has a store; returns once it is ready.
 pub async fn start_with(
     settings: agent::Settings,
@@ -280,6 +293,19 @@
             .recall
     }
 
+    /// What the agent knows about crashes.
+    pub async fn evidence(&self) -> Vec<Evidence> {
+        let calls = self.calls();
+        let params = Vec::new();
+        let exchange = calls.call::<rpc::methods::ExchangeEvidence>(
+            &self.addr,
+            Generation(7),
+            params,
+            PATIENCE,
+        );
+        exchange.await.expect("the exchange is answered").answer
+    }
+
     /// Asks the agent to drain.
     pub async fn drain(&self) -> bool {
         let calls = self.calls();
