--- a/crates/limpetgw/tests/config_suite/membership.rs
+++ b/crates/limpetgw/tests/config_suite/membership.rs
@@ -3,10 +3,11 @@
 
 use std::time::Duration;
 
-use harness::{args, Fleet, FleetPlan, Question};
+use harness::{args, Fleet, FleetPlan, Question, Reply};
 
 use crate::operating::{generation_of, status_of, wait_in_force, Checked, TempFile};
 use rstest::rstest;
+use smol::Task;
 
 /// Time after which a leaving instance gets no new work.
 const LEAVING_LIMIT: Duration = Duration::from_secs(3);
@@ -21,20 +22,37 @@
 
 /// Asks both entries some questions; every one has to be answered whole.
 async fn ask_all(fleet: &Fleet) -> Checked {
-    ask(fleet, QUESTIONS).await
-}
-
-async fn ask(fleet: &Fleet, questions: usize) -> Checked {
     for entry in 0..2 {
-        for number in 0..questions {
-            let question = Question::streamed(format!("burr {entry} {number}? [len=3]"));
-            let reply = fleet.caller(entry).ask(&question).await;
-            assert!(reply.outcome.is_whole(), "entry-{entry}: {reply:?}");
+        for number in 0..QUESTIONS {
+            ask_one(fleet, entry, number).await;
         }
     }
     Ok(())
 }
 
+/// Asks entry-0 several questions at the same time, more than one instance
+/// is first choice for.
+async fn ask_at_once(fleet: &Fleet) {
+    let caller = fleet.caller(0);
+    let asked: Vec<Task<Reply>> = (0..8)
+        .map(|number| {
+            let caller = caller.clone();
+            let question = Question::streamed(format!("burr {number}? [len=3]"));
+            smol::spawn(async move { caller.ask(&question).await })
+        })
+        .collect();
+    for reply in asked {
+        let reply = reply.await;
+        assert!(reply.outcome.is_whole(), "{reply:?}");
+    }
+}
+
+async fn ask_one(fleet: &Fleet, entry: usize, number: usize) {
+    let question = Question::streamed(format!("burr {entry} {number}? [len=3]"));
+    let reply = fleet.caller(entry).ask(&question).await;
+    assert!(reply.outcome.is_whole(), "entry-{entry}: {reply:?}");
+}
+
 async fn started(fleet: &Fleet, engine: &str) -> Result<u64, harness::HarnessError> {
     Ok(fleet.stats(engine).await?.requests_started)
 }
@@ -79,70 +97,61 @@
     })
 }
 
-/// A drained agent whose process is replaced under the same id and address,
-/// while the list never showed it leaving, gets work again.
-#[test]
-fn a_replacement_at_the_same_address_gets_work_again() -> Checked {
-    smol::block_on(async {
-        let mut fleet = Fleet::start(plan()).await?;
-        fleet.terminate("agent-0")?;
-        smol::Timer::after(LEAVING_LIMIT).await;
-        ask_all(&fleet).await?;
-
-        fleet.restart("agent-0").await?;
-        let before = started(&fleet, "engine-0").await?;
-        for _ in 0..50 {
-            ask_all(&fleet).await?;
-            if started(&fleet, "engine-0").await? > before {
-                return Ok(());
-            }
-            smol::Timer::after(Duration::from_millis(500)).await;
+/// A fleet whose agent-0 drains while it still has a long request, which the
+/// list never shows, and whose entry-0 has heard so; with the long requests.
+async fn fleet_with_draining_agent() -> Result<(Fleet, Vec<Task<Reply>>), Box<dyn std::error::Error>>
+{
+    let mut plan = plan();
+    plan.engine_args = args("--token-ms 10");
+    let mut fleet = Fleet::start(plan).await?;
+    let frozen = r#"{"instances_frozen": true}"#;
+    fleet.set_faults("platform", frozen).await?;
+    let caller = fleet.caller(0);
+    let mut long = Vec::new();
+    while status_of(&fleet, "agent-0").await.map(|one| one.in_flight) < Some(1) {
+        assert!(long.len() < 8, "none of these went to agent-0");
+        let caller = caller.clone();
+        let question = Question::streamed(format!("plan {} [len=1500]", long.len()));
+        long.push(smol::spawn(async move { caller.ask(&question).await }));
+        smol::Timer::after(Duration::from_millis(200)).await;
+    }
+    fleet.terminate("agent-0")?;
+    for _ in 0..20 {
+        ask_at_once(&fleet).await;
+        if fleet.process("entry-0")?.count_log("InstanceSaidLeaving") > 0 {
+            return Ok((fleet, long));
         }
-        panic!("the replacement got no work");
-    })
+    }
+    Err("entry-0 did not note that agent-0 is leaving".into())
+}
+
+/// Dispatches of entry-0 to agent-0 so far.
+fn dispatches_to_draining(fleet: &Fleet) -> Result<usize, harness::HarnessError> {
+    let log = fleet.process("entry-0")?.log();
+    let is_choice = |line: &&String| {
+        line.contains("UpstreamChosen") && line.contains(r#""instance":"agent-0""#)
+    };
+    Ok(log.iter().filter(is_choice).count())
 }
 
 /// An agent that drains, and stays for a long request, is not even asked
-/// once an entry has heard so, while the list shows it live.
+/// once an entry has heard so, while the list shows it live; and the long
+/// request is not cut off.
 #[test]
 fn a_draining_agent_is_not_asked_again() -> Checked {
     smol::block_on(async {
-        let mut plan = plan();
-        plan.engine_args = args("--token-ms 10");
-        let mut fleet = Fleet::start(plan).await?;
-        let frozen = r#"{"instances_frozen": true}"#;
-        fleet.set_faults("platform", frozen).await?;
-        let caller = fleet.caller(0);
-        let mut long = Vec::new();
-        while status_of(&fleet, "agent-0").await.map(|one| one.in_flight) < Some(1) {
-            assert!(long.len() < 8, "none of these went to agent-0");
-            let caller = caller.clone();
-            let question = Question::streamed(format!("plan {} [len=1500]", long.len()));
-            long.push(smol::spawn(async move { caller.ask(&question).await }));
-            smol::Timer::after(Duration::from_millis(200)).await;
+        let (mut fleet, long) = fleet_with_draining_agent().await?;
+        let before = dispatches_to_draining(&fleet)?;
+
+        for _ in 0..5 {
+            ask_at_once(&fleet).await;
         }
-        fleet.terminate("agent-0")?;
-        smol::Timer::after(LEAVING_LIMIT).await;
-        // Each entry may hear it by one refused dispatch.
-        ask(&fleet, 4).await?;
-        let asked = |fleet: &Fleet| -> Result<usize, harness::HarnessError> {
-            let log = |name| Ok(fleet.process(name)?.log());
-            let lines: Vec<String> = [log("entry-0")?, log("entry-1")?].concat();
-            let is_choice = |line: &&String| {
-                line.contains("UpstreamChosen") && line.contains(r#""instance":"agent-0""#)
-            };
-            Ok(lines.iter().filter(is_choice).count())
-        };
-        let before = asked(&fleet)?;
-        assert!(before > 0, "it was used before");
-
-        ask(&fleet, 4).await?;
 
         assert!(
             fleet.process_mut("agent-0")?.is_running(),
             "it finishes its requests"
         );
-        assert_eq!(asked(&fleet)?, before);
+        assert_eq!(dispatches_to_draining(&fleet)?, before);
         for reply in long {
             let reply = reply.await;
             assert!(reply.outcome.is_whole(), "{reply:?}");
@@ -151,6 +160,27 @@
     })
 }
 
+/// A drained agent is replaced under the same id and address, while the list
+/// never showed it leaving: it gets work again.
+#[test]
+fn a_replacement_at_the_same_address_gets_work_again() -> Checked {
+    smol::block_on(async {
+        let (mut fleet, _long) = fleet_with_draining_agent().await?;
+        fleet.set_faults("platform", "{}").await?;
+        fleet.restart("agent-0").await?;
+        let before = dispatches_to_draining(&fleet)?;
+
+        for _ in 0..400 {
+            ask_at_once(&fleet).await;
+            if dispatches_to_draining(&fleet)? > before {
+                return Ok(());
+            }
+            smol::Timer::after(Duration::from_millis(50)).await;
+        }
+        panic!("the replacement got no work");
+    })
+}
+
 /// A new process that starts while the platform is down gets configuration
 /// and upstreams from its seeds, and serves.
 #[test]
--- a/crates/shared-state/src/follow/instances.rs
+++ b/crates/shared-state/src/follow/instances.rs
@@ -9,6 +9,9 @@
 
 /// Mean time between tries while the list is unavailable.
 const RETRY_INTERVAL: Duration = Duration::from_secs(2);
+/// Mean time between two rounds of asking instances that said that they are
+/// leaving whether they do.
+const RECHECK_INTERVAL: Duration = Duration::from_secs(5);
 /// Longest wait for a peer's answer.
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Size of one line of the list as JSON text, in bytes, about.
@@ -44,7 +47,6 @@
                 smol::Timer::after(jittered(RETRY_INTERVAL, rand::random())).await;
             }
         }
-        recheck_leaving(&state, &settings).await;
     }
 }
 
@@ -79,8 +81,15 @@
 }
 
 /// Asks instances that said that they are leaving, and that the list still
-/// shows as live, whether they take work again.
-async fn recheck_leaving(state: &SharedState, settings: &Settings) {
+/// shows as live, whether they take work again; runs as long as the process.
+pub(super) async fn recheck_leaving(state: Arc<SharedState>, settings: Arc<Settings>) {
+    loop {
+        smol::Timer::after(jittered(RECHECK_INTERVAL, rand::random())).await;
+        recheck_once(&state, &settings).await;
+    }
+}
+
+async fn recheck_once(state: &SharedState, settings: &Settings) {
     for (instance, addr) in state.tombstones() {
         let answer = settings
             .peers
--- a/crates/shared-state/src/follow/mod.rs
+++ b/crates/shared-state/src/follow/mod.rs
@@ -28,6 +28,8 @@
     let (shared, from) = tasks();
     async_global_executor::spawn(instances::follow(shared, from)).detach();
     let (shared, from) = tasks();
+    async_global_executor::spawn(instances::recheck_leaving(shared, from)).detach();
+    let (shared, from) = tasks();
     async_global_executor::spawn(peers::follow_hints(shared, from, hints)).detach();
     let (shared, from) = tasks();
     let rises = state.rises();
