Console of forms: a pure session, a terminal and an answers file as sources

Forms that could not be filled are not begun. The session yields one document and goes through the same submission as a file.

--- a/crates/console/src/config_command.rs
+++ b/crates/console/src/config_command.rs
@@ -73,17 +73,35 @@
     Ok(Document::parse(&text)?)
 }
 
+/// A session that has begun, with the document that it began with.
+#[derive(Clone, Debug)]
+pub struct Begun {
+    /// The session.
+    pub session: SessionId,
+    /// The document that was stored, an empty one before the first.
+    pub document: Document,
+}
+
 /// Begins a session at the generation that is stored now.
 ///
 /// # Errors
 ///
 /// [`OperatorError`] when the store can't be read.
-pub async fn begin_session(operator: &Operator) -> Result<SessionId, OperatorError> {
+pub async fn begin_session(operator: &Operator) -> Result<Begun, OperatorError> {
     let stored = read_head(&*operator.store)
         .await
         .map_err(SubmitError::NotSubmitted)?;
-    let base = stored.map_or(Generation(0), |stored| stored.head.generation);
-    Ok(SessionId::new(base, rand::random()))
+    let (base, document) = match stored {
+        Some(stored) => {
+            let document = operator.document_of(&stored.head).await?;
+            (stored.head.generation, document)
+        }
+        None => (Generation(0), Document::default()),
+    };
+    Ok(Begun {
+        session: SessionId::new(base, rand::random()),
+        document,
+    })
 }
 
 /// Submits a document, if the generation that the session began with is still
--- a/crates/console/src/lib.rs
+++ b/crates/console/src/lib.rs
@@ -1,17 +1,23 @@
 //! What operators do: submit, show and compare configurations, look at the
 //! fleet, and drain instances.
 
+mod answers;
 mod config_command;
 mod difference;
 mod fleet;
+mod forms;
 mod keys;
 mod operator;
+mod terminal;
 
+pub use answers::{lead, AnswerSource, FileAnswers, SourceError};
 pub use config_command::{
     begin_session, diff, history, read_document, show, submit, submit_text, wait, HistoryLine,
     SubmitArgs, SubmitReport, WaitReport,
 };
 pub use difference::{difference, Change};
 pub use fleet::{drain, generation_floor, status, status_text, FleetStatus, InstanceReport};
+pub use forms::{FormSession, Question, QuestionKind, Rejected, Step};
 pub use keys::NewKey;
 pub use operator::{Operator, OperatorError};
+pub use terminal::TerminalAnswers;
--- a/crates/console/src/operator.rs
+++ b/crates/console/src/operator.rs
@@ -6,6 +6,8 @@
 use platform::{InstanceSource, ObjectStore, StoreError};
 use shared_state::{ReadError, SubmitError};
 
+use crate::answers::SourceError;
+
 /// The platform and the fleet, as operator commands reach them.
 #[derive(Clone)]
 pub struct Operator {
@@ -28,6 +30,9 @@
         /// The system's word.
         reason: String,
     },
+    /// A form session had no answer.
+    #[error(transparent)]
+    Answers(#[from] SourceError),
     /// A document breaks rules.
     #[error(transparent)]
     Invalid(#[from] Invalid),
--- /dev/null
+++ b/crates/console/tests/suite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the operators' forms, differences and keys.
+
+mod differences;
+mod forms;
+mod keys;
--- a/crates/limpetgw/src/cli/config.rs
+++ b/crates/limpetgw/src/cli/config.rs
@@ -2,8 +2,8 @@
 
 use std::{path::PathBuf, time::Duration};
 
+use ::console::SubmitArgs;
 use clap::{Args, Subcommand};
-use console::SubmitArgs;
 use shared_state::SessionId;
 use types::Generation;
 
@@ -97,11 +97,11 @@
 
 impl SubmitCommand {
     async fn run(&self) -> Result<(), CliError> {
-        let document = console::read_document(&self.file)?;
+        let document = ::console::read_document(&self.file)?;
         let operator = self.operator.operator()?;
         let session = match &self.session {
             Some(session) => session.clone(),
-            None => console::begin_session(&operator).await?,
+            None => ::console::begin_session(&operator).await?.session,
         };
         // Printed first: it is needed when this process ends half-way.
         eprintln!("session {session}");
@@ -110,14 +110,14 @@
             submitter: self.session_args.submitter.clone(),
             settle_time: Duration::from_millis(self.session_args.settle_ms),
         };
-        let report = console::submit(&operator, document, &args).await?;
-        self.operator.print(&report, console::submit_text);
+        let report = ::console::submit(&operator, document, &args).await?;
+        self.operator.print(&report, ::console::submit_text);
         Ok(())
     }
 }
 
 async fn show(args: &OperatorArgs) -> Result<(), CliError> {
-    let (generation, document) = console::show(&args.operator()?).await?;
+    let (generation, document) = ::console::show(&args.operator()?).await?;
     eprintln!("generation {}", generation.0);
     args.print(&document, |document| {
         // Plain data: serialization can't fail.
@@ -127,15 +127,15 @@
 }
 
 async fn diff(file: &std::path::Path, args: &OperatorArgs) -> Result<(), CliError> {
-    let document = console::read_document(file)?;
-    let changes = console::diff(&args.operator()?, &document).await?;
+    let document = ::console::read_document(file)?;
+    let changes = ::console::diff(&args.operator()?, &document).await?;
     args.print(&changes, |changes| lines(changes));
     Ok(())
 }
 
 async fn wait(generation: u64, wait_ms: u64, args: &OperatorArgs) -> Result<(), CliError> {
     let limit = Duration::from_millis(wait_ms);
-    let report = console::wait(&args.operator()?, Generation(generation), limit).await?;
+    let report = ::console::wait(&args.operator()?, Generation(generation), limit).await?;
     args.print(&report, |report| {
         format!(
             "generation {} is in force in all {} processes",
@@ -146,7 +146,7 @@
 }
 
 async fn history(args: &OperatorArgs) -> Result<(), CliError> {
-    let history = console::history(&args.operator()?).await?;
+    let history = ::console::history(&args.operator()?).await?;
     args.print(&history, |history| {
         let lines = history.iter().map(|line| {
             format!(
--- /dev/null
+++ b/crates/limpetgw/src/cli/console.rs
@@ -0,0 +1,72 @@
+//! `limpetgw console`.
+
+use std::{path::PathBuf, time::Duration};
+
+use ::config::Document;
+use ::console::{
+    begin_session, lead, submit, submit_text, FileAnswers, FormSession, NewKey, OperatorError,
+    SubmitArgs, TerminalAnswers,
+};
+use clap::Args;
+
+use super::{config::SessionArgs, operator::OperatorArgs, CliError};
+
+/// Leads through forms to one document and puts it into force.
+#[derive(Debug, Args)]
+pub(crate) struct ConsoleArgs {
+    /// File with the answers (JSON), for scripts; without it the terminal is
+    /// asked.
+    #[arg(long, env = "LIMPETGW_ANSWERS")]
+    answers: Option<PathBuf>,
+    /// Print the document and submit nothing.
+    #[arg(long)]
+    print: bool,
+    #[command(flatten)]
+    session_args: SessionArgs,
+    #[command(flatten)]
+    operator: OperatorArgs,
+}
+
+impl ConsoleArgs {
+    pub(crate) async fn run(&self) -> Result<(), CliError> {
+        let operator = self.operator.operator()?;
+        let begun = begin_session(&operator).await?;
+        let session = begun.session;
+        eprintln!("session {session}");
+        let mut forms = FormSession::new(begun.document);
+        let Some(document) = self.ask(&mut forms)? else {
+            eprintln!("given up; nothing changed");
+            return Ok(());
+        };
+        if self.print {
+            // Plain data: serialization can't fail.
+            println!(
+                "{}",
+                serde_json::to_string_pretty(&document).unwrap_or_default()
+            );
+            return Ok(());
+        }
+        let args = SubmitArgs {
+            session,
+            submitter: self.session_args.submitter.clone(),
+            settle_time: Duration::from_millis(self.session_args.settle_ms),
+        };
+        let report = submit(&operator, document, &args).await?;
+        self.operator.print(&report, submit_text);
+        Ok(())
+    }
+
+    fn ask(&self, forms: &mut FormSession) -> Result<Option<Document>, OperatorError> {
+        let Some(path) = &self.answers else {
+            return Ok(lead(forms, &mut TerminalAnswers, NewKey::random)?);
+        };
+        let text = std::fs::read_to_string(path).map_err(|error| OperatorError::File {
+            path: path.display().to_string(),
+            reason: error.to_string(),
+        })?;
+        let mut answers = FileAnswers::parse(&text)?;
+        let document = lead(forms, &mut answers, NewKey::random)?;
+        answers.finish()?;
+        Ok(document)
+    }
+}
--- a/crates/limpetgw/src/cli/keys.rs
+++ b/crates/limpetgw/src/cli/keys.rs
@@ -27,7 +27,7 @@
 impl KeysArgs {
     pub(crate) fn run(&self) -> Result<(), CliError> {
         let KeysCommand::New { team, output } = &self.command;
-        let key = console::NewKey::random(team.as_str().into());
+        let key = ::console::NewKey::random(team.as_str().into());
         match output {
             Output::Json => println!("{}", key.to_json()),
             Output::Text => println!("{}", key.to_text()),
--- a/crates/limpetgw/src/cli/mod.rs
+++ b/crates/limpetgw/src/cli/mod.rs
@@ -3,6 +3,7 @@
 mod agent;
 mod common;
 mod config;
+mod console;
 mod drain;
 mod entry;
 mod explain;
@@ -35,6 +36,8 @@
     Explain(explain::ExplainArgs),
     /// Show, compare, submit and follow configurations.
     Config(Box<config::ConfigArgs>),
+    /// Lead through forms to one document and put it into force.
+    Console(Box<console::ConsoleArgs>),
     /// Show the state of every listed process.
     Status(Box<status::StatusArgs>),
     /// Let an instance finish what it has and leave.
@@ -69,7 +72,7 @@
     Agent(#[from] ::agent::RunError),
     /// An operator command failed.
     #[error(transparent)]
-    Operator(Box<console::OperatorError>),
+    Operator(Box<::console::OperatorError>),
 }
 
 impl CliError {
@@ -89,6 +92,7 @@
             Command::Agent(args) => args.run().await,
             Command::Explain(args) => args.run(),
             Command::Config(args) => args.run().await,
+            Command::Console(args) => args.run().await,
             Command::Status(args) => args.run().await,
             Command::Drain(args) => args.run().await,
             Command::Keys(args) => args.run(),
--- a/crates/limpetgw/src/cli/operator.rs
+++ b/crates/limpetgw/src/cli/operator.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
+use ::console::{Operator, OperatorError};
 use clap::{Args, ValueEnum};
-use console::{Operator, OperatorError};
 use serde::Serialize;
 
 use super::{common::PlatformArgs, CliError};
--- a/crates/limpetgw/src/cli/status.rs
+++ b/crates/limpetgw/src/cli/status.rs
@@ -13,8 +13,8 @@
 
 impl StatusArgs {
     pub(crate) async fn run(&self) -> Result<(), CliError> {
-        let status = console::status(&self.operator.operator()?).await?;
-        self.operator.print(&status, console::status_text);
+        let status = ::console::status(&self.operator.operator()?).await?;
+        self.operator.print(&status, ::console::status_text);
         Ok(())
     }
 }
--- a/crates/limpetgw/tests/config_suite/main.rs
+++ b/crates/limpetgw/tests/config_suite/main.rs
@@ -2,5 +2,6 @@
 //! fails, operators race and instances leave.
 
 mod config;
+mod console;
 mod membership;
 mod operating;
