--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -48,12 +48,7 @@
 }
 
 fn is_ready(agent: &Agent) -> bool {
-    let snapshot = agent.shared.config();
-    !agent.gate.is_draining()
-        && snapshot
-            .document
-            .upstreams
-            .contains_key(&agent.settings.upstream)
+    !agent.gate.is_draining() && agent.is_configured() && agent.is_informed()
 }
 
 fn ready(conn: Conn, is_ready: bool) -> Conn {
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -4,14 +4,17 @@
 #![allow(dead_code, unreachable_pub, unused_imports)]
 
 mod engine;
+mod store;
 
 pub use engine::{token_event, usage_event, Arrived, Engine, Part};
 
+pub use store::Store;
+
 use std::{sync::Arc, time::Duration};
 
 use config::{Class, Document, Snapshot, Team, Upstream, UpstreamKind};
 use futures_lite::FutureExt;
-use platform::HttpPlatform;
+use platform::{HttpPlatform, Instance};
 use rpc::{DispatchMeta, DispatchReply, PeerSecrets, Target};
 use serde_json::{json, Value};
 use shared_state::SharedState;
@@ -21,6 +24,7 @@
 
 pub const SECRET: &str = "a secret of the test's own";
 pub const CLASS: &str = "bench";
+pub const URGENT: &str = "clinic";
 pub const UPSTREAM: &str = "carving";
 
 /// Bound on every wait of a test.
@@ -46,8 +50,8 @@
 }
 
 pub fn document(kind: UpstreamKind, running_max: u32) -> Document {
-    let class = Class {
-        priority: 10,
+    let class = |priority| Class {
+        priority,
         first_token_target_ms: 500,
         token_gap_target_ms: 0,
         deadline_ms: 1_000,
@@ -70,7 +74,9 @@
         idempotent: true,
     };
     Document {
-        classes: [(CLASS.into(), class)].into_iter().collect(),
+        classes: [(CLASS.into(), class(10)), (URGENT.into(), class(200))]
+            .into_iter()
+            .collect(),
         teams: [("fitters".into(), team)].into_iter().collect(),
         upstreams: [(UPSTREAM.into(), upstream)].into_iter().collect(),
         ..Document::default()
@@ -97,8 +103,26 @@
 
 /// Starts an agent in front of an engine, with room for `running_max` requests.
 pub async fn start(settings: agent::Settings, document: Document) -> agent::Running {
-    let shared = SharedState::fixed(Snapshot::new(Generation(7), document), Vec::new());
-    agent::start(settings, shared).await.unwrap()
+    start_with(settings, document, Vec::new(), Store::new()).await
+}
+
+/// Starts an agent that knows others and has a store; returns once it is ready.
+pub async fn start_with(
+    settings: agent::Settings,
+    document: Document,
+    others: Vec<Instance>,
+    store: Arc<Store>,
+) -> agent::Running {
+    let shared = SharedState::fixed(Snapshot::new(Generation(7), document), others);
+    let running = agent::start(settings, shared, store).await.unwrap();
+    let entry = Entry::of(&running);
+    soon("a ready agent", async {
+        while entry.get("/readyz").await.0 != 200 {
+            smol::Timer::after(Duration::from_millis(5)).await;
+        }
+    })
+    .await;
+    running
 }
 
 pub async fn engine_and_agent(running_max: u32) -> (Engine, agent::Running) {
@@ -127,6 +151,13 @@
     }
 }
 
+pub fn urgent(request_id: &str) -> DispatchMeta {
+    DispatchMeta {
+        class: URGENT.into(),
+        ..completion(request_id)
+    }
+}
+
 pub fn call(request_id: &str, method: &str, path: &str) -> DispatchMeta {
     DispatchMeta {
         target: Target::Call {
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -8,6 +8,7 @@
 };
 use trillium::{Conn, Handler};
 use trillium_router::Router;
+use types::{Generation, InstanceId};
 
 use crate::{
     app::{lock, App},
@@ -27,13 +28,14 @@
     let ready_app = app.clone();
     let instance = app.settings.instance.clone();
     let shared = app.shared.clone();
-    let methods = shared_state::serve(Methods::new(Served { app, drain }), instance, shared)
+    let methods = Methods::new(Served { app, drain });
+    let methods = shared_state::serve(methods, instance, shared)
         .with::<GetStatus, _, _>(|call, served| async move {
-            let shared = &served.app.shared;
-            shared.on_sender_generation(&call.sender, call.generation);
+            served.note(&call.sender, call.generation);
             Ok(served.answered(served.status()))
         })
         .with::<ExchangeEvidence, _, _>(|call, served| async move {
+            served.note(&call.sender, call.generation);
             let now = served.app.now();
             let mut suspects = lock(&served.app.suspects);
             suspects.merge(now, &call.params);
@@ -58,6 +60,10 @@
 }
 
 impl Served {
+    fn note(&self, sender: &InstanceId, generation: Generation) {
+        self.app.shared.on_sender_generation(sender, generation);
+    }
+
     fn answered<A>(&self, answer: A) -> Answered<A> {
         Answered {
             sender: self.app.settings.instance.clone(),
--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -4,7 +4,7 @@
 
 use config::Document;
 use indexmap::IndexMap;
-use platform::HttpPlatform;
+use platform::{HttpPlatform, Instance};
 use serde_json::{json, Value};
 use shared_state::{SessionId, Submission};
 use standins::{
@@ -76,7 +76,7 @@
     /// When anything does not come up in time.
     pub async fn start(plan: FleetPlan) -> Result<Self, HarnessError> {
         let fleet = Self::start_unready(plan).await?;
-        if fleet.plan.document.is_some() {
+        if fleet.plan.is_configured {
             fleet.wait_ready(fleet.plan.ready_limit).await?;
         }
         Ok(fleet)
@@ -101,8 +101,8 @@
             members: IndexMap::new(),
             http: client(),
         };
-        if let Some(document) = fleet.plan.document.clone() {
-            fleet.submit(document).await?;
+        if fleet.plan.is_configured {
+            fleet.submit(fleet.plan.document.clone()).await?;
         }
         for _ in 0..fleet.plan.engines {
             fleet.add_engine().await?;
@@ -330,25 +330,64 @@
     pub async fn list(&self, name: &str, state: &str) -> Result<(), HarnessError> {
         let unknown = || HarnessError::UnknownName(name.into());
         let member = self.members.get(name).ok_or_else(unknown)?;
+        let (role, upstream) = match &member.kind {
+            Kind::Entry => ("entry", None),
+            Kind::Agent { upstream } => ("agent", Some(upstream)),
+            Kind::Engine | Kind::Service => return Err(unknown()),
+        };
         let mut line = json!({
             "instance": name,
+            "role": role,
             "zone": member.zone,
             "addr": member.process.internal_addr(),
             "state": state,
         });
-        match &member.kind {
-            Kind::Entry => line["role"] = "entry".into(),
-            Kind::Agent { upstream } => {
-                line["role"] = "agent".into();
-                line["upstream"] = upstream.as_str().into();
-            }
-            Kind::Engine | Kind::Service => return Err(unknown()),
+        if let Some(upstream) = upstream {
+            line["upstream"] = upstream.as_str().into();
         }
+        self.list_line(&line).await
+    }
+
+    /// Lists one more live agent that is in truth the agent `of`, so that a
+    /// few processes look like many.
+    ///
+    /// # Errors
+    ///
+    /// When there is none of this name or the platform does not answer.
+    pub async fn list_alias(
+        &self,
+        instance: &str,
+        of: &str,
+        upstream: &str,
+    ) -> Result<(), HarnessError> {
+        let line = json!({
+            "instance": instance,
+            "role": "agent",
+            "upstream": upstream,
+            "zone": self.zone(0),
+            "addr": self.process(of)?.internal_addr(),
+            "state": "live",
+        });
+        self.list_line(&line).await
+    }
+
+    async fn list_line(&self, line: &Value) -> Result<(), HarnessError> {
         let url = format!("http://{}/admin/instances", self.platform_addr());
         call_json(&self.http, Method::Post, &url, Some(line.to_string())).await?;
         Ok(())
     }
 
+    /// Adds a line to the instance list that belongs to no process of the fleet.
+    ///
+    /// # Errors
+    ///
+    /// When the platform does not answer.
+    pub async fn list_instance(&self, instance: &Instance) -> Result<(), HarnessError> {
+        // A struct of names: serialization can't fail.
+        let line = serde_json::to_value(instance).unwrap_or_default();
+        self.list_line(&line).await
+    }
+
     /// Takes a process off the platform's list.
     ///
     /// # Errors
