--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -72,8 +72,8 @@
 
 /// Jittered pause before attempt `attempt` (1 is the first retry), in milliseconds.
 pub fn backoff_ms(attempt: u32, random: u64) -> u64 {
-    const BASE_MS: u64 = 5;
-    const MAX_MS: u64 = 500;
+    const BASE_MS: u64 = 2;
+    const MAX_MS: u64 = 200;
     let ceiling = (BASE_MS << attempt.min(10)).min(MAX_MS);
     random % (ceiling + 1)
 }
--- a/xtask/src/measure/short_behind_long.rs
+++ b/xtask/src/measure/short_behind_long.rs
@@ -18,6 +18,8 @@
     token_ms: 10,
     load_lag_ms: 200,
 };
+/// Slots of each engine kept for short and urgent work.
+const RESERVED_SLOTS: u32 = 1;
 /// Time in which the long plans come.
 const FILL: Duration = Duration::from_millis(500);
 /// Start of the short questions.
@@ -56,7 +58,11 @@
 }
 
 async fn start(programs: &Programs, rival: Rival) -> Result<Fleet, MeasureError> {
-    ENGINES.start(programs, default_document(), rival).await
+    let mut document = default_document();
+    for upstream in document.upstreams.values_mut() {
+        upstream.reserved_slots = RESERVED_SLOTS;
+    }
+    ENGINES.start(programs, document, rival).await
 }
 
 fn short() -> Flow {
