--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -1,10 +1,18 @@
 //! What the agent's tasks share.
 
-use std::sync::{
-    atomic::{AtomicUsize, Ordering},
-    Arc, Mutex, MutexGuard, PoisonError,
+use std::{
+    fmt,
+    sync::{
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+        Arc, Mutex, MutexGuard, PoisonError,
+    },
 };
 
+use crate::{
+    clock::Clock, gate::Gate, meters::Meters, notify::Notify, settings::Settings,
+    upstream::Upstream,
+};
+use platform::ObjectStore;
 use policy::{
     quarantine::SuspectMemory,
     schedule::{ClassRules, LoadReport, Settings as ScheduleSettings},
@@ -12,15 +20,8 @@
 use rpc::DispatchReply;
 use shared_state::SharedState;
 use telemetry::events::AgentEvent;
-use types::{Fingerprint, Generation, InstanceId};
-
-use crate::{clock::Clock, gate::Gate, meters::Meters, settings::Settings, upstream::Upstream};
-
-/// Slack on the age of a request that a recall may refer to, in milliseconds.
-const RECALL_SLACK_MS: u64 = 30_000;
 
 /// The state of one agent.
-#[derive(Debug)]
 pub(crate) struct Agent {
     pub(crate) settings: Settings,
     pub(crate) clock: Clock,
@@ -29,6 +30,12 @@
     pub(crate) shared: Arc<SharedState>,
     pub(crate) in_flight: InFlight,
     pub(crate) meters: Meters,
+    pub(crate) store: Arc<dyn ObjectStore>,
+    pub(crate) peers: rpc::Client,
+    /// Set when there is evidence that the store does not have.
+    pub(crate) has_new_evidence: Notify,
+    /// Whether earlier evidence was looked for; until then nothing is taken.
+    is_informed: AtomicBool,
     suspects: Mutex<SuspectMemory>,
 }
 
@@ -53,6 +60,14 @@
     }
 }
 
+impl fmt::Debug for Agent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Agent")
+            .field("settings", &self.settings)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::Relaxed);
@@ -61,16 +76,25 @@
 
 impl Agent {
     /// Makes an agent that holds no request.
-    pub(crate) fn new(settings: Settings, shared: Arc<SharedState>) -> Self {
+    pub(crate) fn new(
+        settings: Settings,
+        shared: Arc<SharedState>,
+        store: Arc<dyn ObjectStore>,
+    ) -> Self {
+        let secrets = settings.secrets.clone();
         let clock = Clock::new();
-        let (schedule, horizon_ms) = schedule_settings(&settings, &shared);
+        let schedule = schedule_settings(&settings, &shared);
         Self {
             clock,
-            gate: Gate::new(clock, schedule, horizon_ms),
+            gate: Gate::new(clock, schedule),
             upstream: Upstream::new(settings.upstream_addr.clone()),
             shared,
             in_flight: InFlight::default(),
             meters: Meters::new(),
+            store,
+            peers: rpc::Client::new(settings.instance.clone(), secrets),
+            has_new_evidence: Notify::new(),
+            is_informed: AtomicBool::new(false),
             suspects: Mutex::new(SuspectMemory::new()),
             settings,
         }
@@ -78,18 +102,8 @@
 
     /// Applies the configuration in force to the scheduler.
     pub(crate) fn reconfigure(&self) {
-        let (schedule, horizon_ms) = schedule_settings(&self.settings, &self.shared);
-        self.gate.reconfigure(schedule, horizon_ms);
-    }
-
-    /// Notes what a message says about its sender's configuration.
-    pub(crate) fn note_peer(&self, sender: &InstanceId, generation: Generation) {
-        if generation <= self.shared.config().generation {
-            return;
-        }
-        if let Some(peer) = self.shared.membership().find(sender) {
-            self.shared.on_peer_generation(&peer.addr, generation);
-        }
+        let schedule = schedule_settings(&self.settings, &self.shared);
+        self.gate.reconfigure(schedule);
     }
 
     /// What every answer to an entry says about this agent.
@@ -121,10 +135,24 @@
         }
     }
 
-    /// Notes a whole answer.
-    pub(crate) fn on_whole(&self, fingerprint: Fingerprint) {
-        let now = self.clock.now();
-        self.suspects().on_whole(now, fingerprint);
+    /// Whether the agent may take requests: it is configured, and has looked
+    /// for evidence that an earlier process left.
+    pub(crate) fn is_informed(&self) -> bool {
+        self.is_informed.load(Ordering::Acquire)
+    }
+
+    /// Notes that earlier evidence was looked for.
+    pub(crate) fn set_informed(&self) {
+        self.is_informed.store(true, Ordering::Release);
+    }
+
+    /// Whether the configuration in force names the agent's upstream.
+    pub(crate) fn is_configured(&self) -> bool {
+        let snapshot = self.shared.config();
+        snapshot
+            .document
+            .upstreams
+            .contains_key(&self.settings.upstream)
     }
 
     /// The memory of suspected contents.
@@ -133,9 +161,8 @@
     }
 }
 
-/// The scheduler's settings from the configuration in force, and the age up
-/// to which a recall may refer to a request.
-fn schedule_settings(settings: &Settings, shared: &SharedState) -> (ScheduleSettings, u64) {
+/// The scheduler's settings from the configuration in force.
+fn schedule_settings(settings: &Settings, shared: &SharedState) -> ScheduleSettings {
     let snapshot = shared.config();
     let document = &snapshot.document;
     let upstream = document.upstreams.get(&settings.upstream);
@@ -149,7 +176,7 @@
         (name.clone(), rules)
     });
     let weights = document.teams.iter().filter(|(_, team)| team.weight != 1);
-    let schedule = ScheduleSettings::builder()
+    ScheduleSettings::builder()
         .discipline(settings.discipline)
         .running_min(upstream.map_or(1, |upstream| upstream.running_min))
         .running_max(upstream.map_or(1, |upstream| upstream.running_max))
@@ -160,8 +187,5 @@
                 .map(|(name, team)| (name.clone(), team.weight))
                 .collect(),
         )
-        .build();
-    let deadlines = document.classes.values().map(|class| class.deadline_ms);
-    let horizon_ms = 2 * deadlines.max().unwrap_or_default() + RECALL_SLACK_MS;
-    (schedule, horizon_ms)
+        .build()
 }
--- a/crates/agent/src/stop.rs
+++ b/crates/agent/src/stop.rs
@@ -16,11 +16,17 @@
 use telemetry::events::AgentEvent;
 use trillium::Swansong;
 
-use crate::agent::Agent;
+use crate::{
+    agent::Agent,
+    evidence::{keep, recall_evidence},
+};
 
 /// Time between two looks at deadlines, pauses and the configuration.
 const TICK: Duration = Duration::from_millis(25);
 
+/// Time between two connects to an upstream that was unreachable.
+const PROBE_PAUSE: Duration = Duration::from_millis(250);
+
 /// Longest wait for the connections to close at the end.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -43,6 +49,8 @@
 impl Running {
     pub(crate) fn new(agent: Arc<Agent>, addr: SocketAddr, server: Swansong) -> Self {
         async_global_executor::spawn(tick(agent.clone())).detach();
+        async_global_executor::spawn(watch_upstream(agent.clone())).detach();
+        async_global_executor::spawn(inform(agent.clone())).detach();
         Self {
             agent,
             addr,
@@ -103,6 +111,27 @@
     }
 }
 
+/// Looks for earlier evidence once the agent knows its peers, and keeps new
+/// evidence from then on.
+async fn inform(agent: Arc<Agent>) {
+    while !agent.is_configured() {
+        Timer::after(TICK).await;
+    }
+    recall_evidence(&agent).await;
+    agent.set_informed();
+    keep(agent).await;
+}
+
+/// Looks whether an upstream that was unreachable is back.
+async fn watch_upstream(agent: Arc<Agent>) {
+    loop {
+        Timer::after(PROBE_PAUSE).await;
+        if !agent.upstream.is_reachable() {
+            agent.upstream.probe().await;
+        }
+    }
+}
+
 async fn tick(agent: Arc<Agent>) {
     let mut generation = agent.shared.config().generation;
     loop {
--- a/xtask/src/measure/mod.rs
+++ b/xtask/src/measure/mod.rs
@@ -3,6 +3,8 @@
 //! To add one: a module with `run(programs) -> Result<Value, MeasureError>`, a
 //! variant of [`Measurement`], and its line in [`Measurement::run`].
 
+pub mod capacity;
+pub mod fit;
 pub mod overhead;
 mod rivals;
 pub mod short_behind_long;
@@ -22,6 +24,8 @@
 pub enum Measurement {
     /// What a request costs on its way through entry and agent.
     Overhead,
+    /// What control costs a process, by the size of fleet and configuration.
+    Capacity,
     /// Everyone calls in the same second after a power cut.
     Surge,
     /// Short questions while long plans fill every engine.
@@ -67,6 +71,7 @@
     async fn run(self, programs: Programs) -> Result<Value, MeasureError> {
         match self {
             Measurement::Overhead => overhead::run(programs).await,
+            Measurement::Capacity => capacity::run(programs).await,
             Measurement::Surge => surge::run(programs).await,
             Measurement::ShortBehindLong => short_behind_long::run(programs).await,
             Measurement::Stragglers => stragglers::run(programs).await,
