Entry: hedge short requests, recall over an open connection, smaller futures

Short repeatable work that shows no sign of life is sent to a second instance within half of the retry budget. Seen red by mutation: the hedge off (a_short_request_is_hedged), every request hedged (a_long_request_is_not_hedged).

A recall at the deadline was sent after the dispatch's connection had been closed, so an agent started anew in between could have answered for its predecessor; the connection now stays open and must still be open after the answer. No test brings this about; it follows from reading.

With the hedge the attempts test overran the 2 MB stack of an executor thread. Cause, by frame sizes in the debugger: the request's future, over 140 KB, is nested and moved by the HTTP server. Boxing the handler and the rare branches lets the same tests pass with a 600 KB stack.

--- a/crates/entry/src/attempt/mod.rs
+++ b/crates/entry/src/attempt/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod connector;
 mod recall;
+mod sending;
 mod session;
 mod transport;
 
--- a/crates/entry/src/attempt/recall.rs
+++ b/crates/entry/src/attempt/recall.rs
@@ -22,7 +22,7 @@
     let call = app
         .peers
         .call::<RecallRequest>(addr, generation, params, CALL_TIMEOUT);
-    let answered = call.await.ok()?;
+    let answered = Box::pin(call).await.ok()?;
     app.shared.on_peer_generation(addr, answered.generation);
     Some(answered.answer.recall)
 }
@@ -33,7 +33,7 @@
     let call = app
         .peers
         .call::<GetStatus>(addr, generation, (), CALL_TIMEOUT);
-    call.await.is_ok()
+    Box::pin(call).await.is_ok()
 }
 
 /// Cancels a request at its agent unless disarmed: the caller is gone, or
--- a/crates/entry/src/attempt/session.rs
+++ b/crates/entry/src/attempt/session.rs
@@ -3,15 +3,19 @@
 use std::{sync::Arc, time::Duration};
 
 use futures_lite::FutureExt;
-use policy::{choice::Wanted, retry::backoff_ms, schedule::Recall};
+use policy::{
+    choice::Wanted,
+    retry::{backoff_ms, may_hedge},
+    schedule::Recall,
+};
 use rpc::{DispatchMeta, DispatchReply};
 use telemetry::{emit, events::EntryEvent};
 use types::{ErrorCode, InstanceId, Verdict};
 
 use super::{
     answer::{OpenAnswer, Sent},
-    recall::{self, CancelGuard},
-    transport::Head,
+    recall,
+    sending::{Patience, Sending, Waited},
 };
 use crate::{
     app::{lock, App},
@@ -41,19 +45,6 @@
     in_flight: InFlight,
 }
 
-/// An instance chosen for an attempt.
-struct Chosen {
-    sent: Sent,
-    addr: Arc<str>,
-}
-
-/// What an attempt ended with before its answer opened.
-enum Waited {
-    Head(Box<Head>),
-    Silent,
-    Late,
-}
-
 impl Session {
     pub(crate) fn new(app: Arc<App>, request: Request, place: Place, in_flight: InFlight) -> Self {
         app.with_budget(&request.class, |budget| budget.on_request());
@@ -82,7 +73,9 @@
     /// The last attempt's failure; its verdict covers all attempts.
     pub(crate) async fn open(&mut self, resume_from: u32) -> Result<OpenAnswer, Failure> {
         loop {
-            let failure = match self.attempt(resume_from).await {
+            // Boxed, as its parts below are: a request's future is moved several
+            // times on its way to the executor.
+            let failure = match Box::pin(self.attempt(resume_from)).await {
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
             };
@@ -137,44 +130,105 @@
 
     async fn attempt(&mut self, resume_from: u32) -> Result<OpenAnswer, Failure> {
         self.place.dispatch()?;
-        let chosen = self.choose()?;
+        let mut sending = self.send(resume_from)?;
+        let hedgeable = resume_from == 0 && self.is_short();
+        if hedgeable {
+            match self.wait(&mut sending, Patience::Hedge).await {
+                Waited::Impatient => {}
+                waited => return self.conclude(sending, waited).await,
+            }
+            if self.may_hedge() {
+                return Box::pin(self.hedge(sending)).await;
+            }
+        }
+        let waited = self.wait(&mut sending, self.patience()).await;
+        self.conclude(sending, waited).await
+    }
+
+    /// Asks a second instance as well; the first answer counts and the other
+    /// one is cancelled.
+    async fn hedge(&mut self, mut first: Sending) -> Result<OpenAnswer, Failure> {
+        let Ok(mut second) = self.send(0) else {
+            let waited = self.wait(&mut first, Patience::Silence).await;
+            return self.conclude(first, waited).await;
+        };
+        emit(&EntryEvent::HedgeSent {
+            request_id: self.request.request_id.clone(),
+            attempt: self.attempts,
+            waited_ms: self.app.now().since(first.sent.sent_at),
+        });
+        let (waited, is_first) = {
+            let of_first = async { (self.wait(&mut first, Patience::Silence).await, true) };
+            let of_second = async { (self.wait(&mut second, Patience::Silence).await, false) };
+            of_first.or(of_second).await
+        };
+        let (ended, mut other) = match is_first {
+            true => (first, second),
+            false => (second, first),
+        };
+        if let Ok(answer) = self.conclude(ended, waited).await {
+            return Ok(answer);
+        }
+        let waited = self.wait(&mut other, Patience::Silence).await;
+        self.conclude(other, waited).await
+    }
+
+    /// Chooses an instance and starts the dispatch to it.
+    fn send(&mut self, resume_from: u32) -> Result<Sending, Failure> {
+        let (sent, addr) = self.choose()?;
+        self.excluded.push(sent.candidate.member.instance.clone());
         let meta = self.meta(resume_from);
-        let instance = chosen.sent.candidate.member.instance.clone();
-        let mut cancel = CancelGuard::new(
-            self.app.clone(),
-            chosen.addr.clone(),
-            self.request.request_id.clone(),
-        );
-        self.excluded.push(instance);
-        self.last_addr = Some(chosen.addr.clone());
-        let waited = self.wait_for_head(&chosen, &meta).await;
+        Ok(Sending::new(&self.app, &self.request, meta, sent, addr))
+    }
+
+    async fn wait(&self, sending: &mut Sending, patience: Patience) -> Waited {
+        let remaining = Duration::from_millis(self.request.remaining_ms(self.app.now()));
+        sending.wait(&self.app, patience, remaining).await
+    }
+
+    fn patience(&self) -> Patience {
+        match self.request.idempotent {
+            true => Patience::Silence,
+            false => Patience::Deadline,
+        }
+    }
+
+    /// What a finished wait means for the attempt.
+    async fn conclude(
+        &mut self,
+        mut sending: Sending,
+        waited: Waited,
+    ) -> Result<OpenAnswer, Failure> {
+        self.last_addr = Some(sending.addr.clone());
         let head = match waited {
             Waited::Head(head) => *head,
-            Waited::Silent => {
+            Waited::Silent | Waited::Impatient => {
                 self.last_addr = None;
-                return Err(self.on_silent(&chosen));
-            }
-            Waited::Late => {
-                cancel.disarm();
-                return Err(self.on_late(&chosen).await);
+                return Err(self.on_silent(&sending));
             }
+            Waited::Late => return Err(self.on_late(&mut sending).await),
         };
         if let Some(reply) = &head.reply {
-            self.on_reply(&chosen, reply);
+            self.on_reply(&sending, reply);
         }
         match head.answer {
-            Ok(conn) => Ok(OpenAnswer::new(conn, chosen.sent, cancel, chosen.addr)),
+            Ok(conn) => Ok(OpenAnswer::new(
+                conn,
+                sending.sent,
+                sending.cancel,
+                sending.addr,
+            )),
             Err(failure) => {
                 if failure.verdict == Verdict::NotRun {
-                    cancel.disarm();
+                    sending.cancel.disarm();
                 }
-                self.on_failed_attempt(&chosen, &failure);
+                self.on_failed_attempt(&sending.sent, &failure);
                 Err(failure)
             }
         }
     }
 
-    fn choose(&mut self) -> Result<Chosen, Failure> {
+    fn choose(&mut self) -> Result<(Sent, Arc<str>), Failure> {
         let view = self.app.pools.at(&self.app.shared.membership());
         let wanted = Wanted {
             prefix_hash: self.request.prefix_hash,
@@ -212,10 +266,8 @@
             by_affinity: choice.inputs.by_affinity,
         });
         let expected_tokens = self.request.expected_tokens();
-        Ok(Chosen {
-            sent: Sent::new(self.app.clone(), choice.candidate.clone(), expected_tokens),
-            addr,
-        })
+        let sent = Sent::new(self.app.clone(), choice.candidate.clone(), expected_tokens);
+        Ok((sent, addr))
     }
 
     fn meta(&self, resume_from: u32) -> DispatchMeta {
@@ -238,54 +290,27 @@
         }
     }
 
-    async fn wait_for_head(&self, chosen: &Chosen, meta: &DispatchMeta) -> Waited {
-        let dispatch = async {
-            let head = self
-                .app
-                .transport
-                .dispatch(&chosen.addr, meta, self.request.body.clone())
-                .await;
-            Waited::Head(Box::new(head))
-        };
-        let deadline = async {
-            smol::Timer::after(Duration::from_millis(meta.remaining_ms)).await;
-            Waited::Late
-        };
-        if !self.request.idempotent {
-            return dispatch.or(deadline).await;
-        }
-        dispatch.or(deadline).or(self.silence(chosen)).await
-    }
-
-    /// Resolves once the agent has shown no sign of life.
-    async fn silence(&self, chosen: &Chosen) -> Waited {
-        loop {
-            let patience = Duration::from_millis(chosen.sent.candidate.hedge_after_ms());
-            smol::Timer::after(patience).await;
-            if !recall::is_alive(&self.app, &chosen.addr).await {
-                return Waited::Silent;
-            }
-        }
-    }
-
-    fn on_silent(&mut self, chosen: &Chosen) -> Failure {
+    fn on_silent(&mut self, sending: &Sending) -> Failure {
         let failure = Failure::new(
             ErrorCode::UpstreamFailed,
             Verdict::MayHaveRun,
             "the upstream's agent does not answer",
         );
-        self.on_failed_attempt(chosen, &failure);
+        self.on_failed_attempt(&sending.sent, &failure);
         failure
     }
 
-    async fn on_late(&mut self, chosen: &Chosen) -> Failure {
-        let recalled = recall::recall(&self.app, &chosen.addr, &self.request.request_id).await;
+    /// Takes the request back at its deadline. The connection stays open
+    /// meanwhile.
+    async fn on_late(&mut self, sending: &mut Sending) -> Failure {
+        let recalled = recall::recall(&self.app, &sending.addr, &self.request.request_id).await;
+        sending.cancel.disarm();
         let (verdict, message) = match recalled {
-            Some(Recall::Recalled) => (
+            Some(Recall::Recalled) if sending.is_open().await => (
                 Verdict::NotRun,
                 "the deadline passed before the request started; it was taken back",
             ),
-            Some(Recall::AlreadyStarted) => (
+            Some(_) => (
                 Verdict::MayHaveRun,
                 "the deadline passed after the request had started; it was cancelled",
             ),
@@ -296,27 +321,27 @@
         };
         let failure = Failure::new(ErrorCode::DeadlineExceeded, verdict, message);
         if recalled.is_none() {
-            chosen.sent.candidate.on_failure(self.app.now());
+            sending.sent.candidate.on_failure(self.app.now());
         }
         self.may_have_run |= verdict != Verdict::NotRun;
         self.log_failed_attempt(&failure);
         failure
     }
 
-    fn on_reply(&self, chosen: &Chosen, reply: &DispatchReply) {
+    fn on_reply(&self, sending: &Sending, reply: &DispatchReply) {
         let now = self.app.now();
-        chosen.sent.candidate.on_report(now, &reply.load, 0);
+        sending.sent.candidate.on_report(now, &reply.load, 0);
         self.app
             .shared
-            .on_peer_generation(&chosen.addr, reply.generation);
+            .on_peer_generation(&sending.addr, reply.generation);
         if reply.leaving {
             self.app.shared.on_leaving(&reply.sender);
         }
     }
 
-    fn on_failed_attempt(&mut self, chosen: &Chosen, failure: &Failure) {
+    fn on_failed_attempt(&mut self, sent: &Sent, failure: &Failure) {
         let now = self.app.now();
-        let candidate = &chosen.sent.candidate;
+        let candidate = &sent.candidate;
         match failure.code {
             ErrorCode::Draining => self.app.shared.on_leaving(&candidate.member.instance),
             ErrorCode::QueueFull | ErrorCode::Displaced => candidate.on_refusal(now),
@@ -391,6 +416,20 @@
             })
     }
 
+    /// Whether the request is short and repeatable enough to be sent twice.
+    fn is_short(&self) -> bool {
+        let request = &self.request;
+        may_hedge(request.idempotent, request.expected_tokens(), 0, 0)
+    }
+
+    fn may_hedge(&self) -> bool {
+        self.attempts < ATTEMPTS_MAX
+            && self.has_another()
+            && self.app.with_budget(&self.request.class, |budget| {
+                budget.try_take_hedge(self.app.now())
+            })
+    }
+
     fn has_another(&self) -> bool {
         let view = self.app.pools.at(&self.app.shared.membership());
         let pool = view.pool(&self.request.upstream);
--- a/crates/entry/src/evidence.rs
+++ b/crates/entry/src/evidence.rs
@@ -26,7 +26,7 @@
     let call = app
         .peers
         .call::<ExchangeEvidence>(addr, generation, known, EXCHANGE_TIMEOUT);
-    let Ok(answered) = call.await else {
+    let Ok(answered) = Box::pin(call).await else {
         return;
     };
     app.shared.on_peer_generation(addr, answered.generation);
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -39,7 +39,8 @@
             &failure.retry_after(DRAINING_WAIT_MS),
         );
     };
-    route(app, conn, request_id, in_flight).await
+    // Boxed, since the server moves and nests the future of its handler.
+    Box::pin(route(app, conn, request_id, in_flight)).await
 }
 
 async fn route(app: Arc<App>, conn: Conn, request_id: RequestId, in_flight: InFlight) -> Conn {
--- a/crates/entry/tests/support/agent.rs
+++ b/crates/entry/tests/support/agent.rs
@@ -32,6 +32,8 @@
 pub enum Reaction {
     /// Answers 200 with a body in pieces.
     Answer(Vec<Piece>),
+    /// Answers after a time without a head, in milliseconds.
+    AnswerAfter(u64, Vec<Piece>),
     /// Refuses with an error body.
     Refuse(ErrorCode, Verdict),
     /// Answers with something that is no error body.
@@ -250,7 +252,15 @@
         leaving,
     };
     let conn = conn.with_response_header(REPLY_HEADER, serde_json::to_string(&reply).unwrap());
+    let reaction = match reaction {
+        Reaction::AnswerAfter(wait_ms, pieces) => {
+            smol::Timer::after(Duration::from_millis(wait_ms)).await;
+            Reaction::Answer(pieces)
+        }
+        other => other,
+    };
     match reaction {
+        Reaction::AnswerAfter(..) => unreachable!("waited for above"),
         Reaction::Answer(pieces) => conn
             .with_status(Status::Ok)
             .with_response_header("content-type", "text/event-stream")
--- a/crates/entry/tests/time.rs
+++ b/crates/entry/tests/time.rs
@@ -92,6 +92,51 @@
     });
 }
 
+/// A short request does not wait for a slow instance: a second one is asked,
+/// and the slow one's work is cancelled.
+#[rstest]
+fn a_short_request_is_hedged() {
+    run(async {
+        let agents = FakeAgent::group(2, vec![Reaction::Silent]).await;
+        let instances = agents.iter().map(|one| one.instance("carving")).collect();
+        let bench = bench(instances).await;
+        let conn = bench
+            .chat(true)
+            .with_request_header("x-request-id", "req-8");
+
+        let (status, text, clean) = streamed(conn).await;
+
+        assert_eq!((status, clean), (200, true), "{text}");
+        assert_eq!(indices(&text), (0..8).collect::<Vec<_>>());
+        let slow = agents
+            .iter()
+            .find(|one| one.dispatches().iter().any(|(meta, _)| meta.attempt == 1));
+        let slow = slow.expect("one of them got the first attempt");
+        eventually("the slow one's work is cancelled", || {
+            slow.recalls().contains(&"req-8".to_owned())
+        })
+        .await;
+    });
+}
+
+/// Long requests and those that must not repeat are not sent twice.
+#[rstest]
+fn a_long_request_is_not_hedged() {
+    run(async {
+        let late = Reaction::AnswerAfter(2_600, agent::whole("r", 0, 8));
+        let agents = FakeAgent::group(2, vec![late]).await;
+        let instances = agents.iter().map(|one| one.instance("carving")).collect();
+        let bench = bench(instances).await;
+        let long = chat_body("m", true).replace("\"max_tokens\":8", "\"max_tokens\":4000");
+
+        let (_, _, clean) = streamed(bench.post("/v1/chat/completions", long)).await;
+
+        assert!(clean);
+        let dispatches: usize = agents.iter().map(|one| one.dispatches().len()).sum();
+        assert_eq!(dispatches, 1);
+    });
+}
+
 #[rstest]
 fn a_slow_agent_that_lives_is_waited_for() {
     run(async {
--- a/crates/telemetry/src/events/entry.rs
+++ b/crates/telemetry/src/events/entry.rs
@@ -109,5 +109,14 @@
             result: String,
         } = "A request that runs at most once was claimed, or an earlier submission was found.",
             "Nothing; `store_unavailable` points at the platform.";
+        1011 Info HedgeSent {
+            /// The request.
+            request_id: RequestId,
+            /// Number of the second attempt.
+            attempt: u32,
+            /// Time since the first one was sent, in milliseconds.
+            waited_ms: u64,
+        } = "A short request without a sign of life was sent to a second instance.",
+            "Look at the first instance if this happens often.";
     }
 }
