--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -33,12 +33,13 @@
     document.classes.insert("bench".into(), class(200, 5_000));
     document.classes.insert("history".into(), class(10, 5_000));
     document.classes.insert("hurried".into(), class(250, 300));
+    document.teams.insert(
+        "fitters".into(),
+        team(API_KEY, &["bench", "hurried"]).into(),
+    );
     document
         .teams
-        .insert("fitters".into(), team(API_KEY, &["bench", "hurried"]));
-    document
-        .teams
-        .insert("clinic".into(), team(OTHER_KEY, &["bench"]));
+        .insert("clinic".into(), team(OTHER_KEY, &["bench"]).into());
     document
         .upstreams
         .insert("carving".into(), upstream(UpstreamKind::Engine, &["m"]));
