--- /dev/null
+++ b/crates/harness/src/fleet/look.rs
@@ -0,0 +1,129 @@
+//! Looks at a fleet: readiness, counters, answers and ledgers.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use standins::{
+    caller::Question,
+    engine::Stats,
+    service::{Ledger, LedgerLine, Run},
+};
+use trillium_client::Method;
+
+use super::{Fleet, Kind};
+use crate::{
+    http::{call, call_json},
+    HarnessError,
+};
+
+/// Pause between two looks at something awaited.
+const POLL_PAUSE: Duration = Duration::from_millis(20);
+/// Patience of a trial question.
+const TRIAL_LIMIT: Duration = Duration::from_secs(2);
+/// The question that shows that an entry serves; one token.
+const TRIAL_PROMPT: &str = "ready? [len=1]";
+
+impl Fleet {
+    /// Waits until every entry has answered a trial question whole.
+    ///
+    /// # Errors
+    ///
+    /// [`HarnessError::TooLate`].
+    pub async fn wait_ready(&self, limit: Duration) -> Result<(), HarnessError> {
+        let deadline = Instant::now() + limit;
+        for index in 0..self.count(&Kind::Entry) {
+            self.wait_entry_ready(index, deadline, limit).await?;
+        }
+        Ok(())
+    }
+
+    async fn wait_entry_ready(
+        &self,
+        index: usize,
+        deadline: Instant,
+        limit: Duration,
+    ) -> Result<(), HarnessError> {
+        let caller = self.caller(index).with_patience(TRIAL_LIMIT);
+        let url = format!("http://{}/readyz", self.entry_addr(index)?);
+        loop {
+            let seen = if self.plan.engines > 0 {
+                let reply = caller.ask(&Question::whole(TRIAL_PROMPT)).await;
+                if reply.outcome.is_whole() {
+                    return Ok(());
+                }
+                format!("{:?} {}", reply.outcome, reply.body)
+            } else {
+                match call(&self.http, Method::Get, &url, None).await {
+                    Ok(answer) if answer.status == 200 => return Ok(()),
+                    Ok(answer) => format!("status {}", answer.status),
+                    Err(error) => error.to_string(),
+                }
+            };
+            if Instant::now() >= deadline {
+                return Err(HarnessError::TooLate {
+                    what: format!("entry-{index} serving"),
+                    limit_ms: limit.as_millis(),
+                    seen,
+                });
+            }
+            smol::Timer::after(POLL_PAUSE).await;
+        }
+    }
+
+    /// Counters of an engine since its last start.
+    ///
+    /// # Errors
+    ///
+    /// When it does not answer.
+    pub async fn stats(&self, engine: &str) -> Result<Stats, HarnessError> {
+        let url = format!("http://{}/stats", self.process(engine)?.addr());
+        let stats = call_json(&self.http, Method::Get, &url, None).await?;
+        serde_json::from_value(stats).map_err(|error| HarnessError::Call {
+            url,
+            reason: error.to_string(),
+        })
+    }
+
+    /// The text that a process answers to a GET, such as `/metrics` on the
+    /// internal address of an entry or agent, with the status.
+    ///
+    /// # Errors
+    ///
+    /// When it does not answer.
+    pub async fn get_internal(
+        &self,
+        name: &str,
+        path: &str,
+    ) -> Result<(u16, String), HarnessError> {
+        let url = format!("http://{}{path}", self.process(name)?.internal_addr());
+        let answer = call(&self.http, Method::Get, &url, None).await?;
+        Ok((answer.status, answer.body))
+    }
+
+    /// The runs of all plain services, crashed processes included.
+    pub fn ledger(&mut self) -> Ledger {
+        let mut runs = Vec::new();
+        for member in self.members.values_mut() {
+            if member.kind == Kind::Service {
+                add_runs(member.process.ledger(), &mut runs);
+            }
+        }
+        Ledger { runs }
+    }
+}
+
+/// Adds the runs of one service; a line of a known run replaces it.
+fn add_runs(lines: &[LedgerLine], runs: &mut Vec<Run>) {
+    let mut known: IndexMap<usize, usize> = IndexMap::new();
+    for line in lines {
+        if line.run.finished {
+            if let Some(place) = known.get(&line.number) {
+                runs[*place] = line.run.clone();
+                continue;
+            }
+        }
+        // A restarted service counts from 0 again.
+        known.insert(line.number, runs.len());
+        runs.push(line.run.clone());
+    }
+}
