Agent: a dying upstream that still seems to listen counts as crashed

Cause: of 16 submissions of a poison request through separate processes some crashed three engines. The log showed the connection broken and no UpstreamCrashed event: the probe's connect succeeded in the moments between a crashed process's first and last closed socket. Ruled out: evidence not told in time (the event itself was missing) and entries that did not ask. The probe now keeps its connection open for 200 ms and sees it closed.

--- a/crates/agent/src/upstream/connector.rs
+++ b/crates/agent/src/upstream/connector.rs
@@ -2,13 +2,17 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
-use futures_lite::FutureExt;
+use futures_lite::{AsyncReadExt, FutureExt};
+use smol::net::TcpStream;
 use trillium_server_common::{url::Url, Connector, Destination};
 use trillium_smol::ClientConfig;
 
 /// Longest wait for a connect to the instance beside this process.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Longest time that a crashed process takes to close all its sockets.
+const CLOSING_MAX: Duration = Duration::from_millis(200);
+
 /// No connection was made, so that no byte of the request was sent.
 #[derive(Debug, thiserror::Error)]
 #[error("connect failed: {0}")]
@@ -28,12 +32,20 @@
         }
     }
 
-    /// Whether `addr` accepts a connection.
+    /// Whether a process at `addr` takes a connection and keeps it.
+    ///
+    /// A process that crashes closes its sockets one after the other: for
+    /// some moments it still seems to listen.
     pub(super) async fn probe(&self, addr: &str) -> bool {
         let Ok(addr) = addr.parse::<SocketAddr>() else {
             return false;
         };
-        let connect = async { smol::net::TcpStream::connect(addr).await.is_ok() };
+        let connect = async {
+            match TcpStream::connect(addr).await {
+                Ok(connection) => stays_open(connection).await,
+                Err(_) => false,
+            }
+        };
         let timeout = async {
             smol::Timer::after(CONNECT_TIMEOUT).await;
             false
@@ -42,6 +54,20 @@
     }
 }
 
+/// Whether a connection without a request is still open after a time.
+async fn stays_open(mut connection: TcpStream) -> bool {
+    let closed = async {
+        // Nothing was asked, so that any end of the wait is a closed connection.
+        let _ = connection.read(&mut [0; 1]).await;
+        false
+    };
+    let open = async {
+        smol::Timer::after(CLOSING_MAX).await;
+        true
+    };
+    closed.or(open).await
+}
+
 /// Whether an exchange failed before a byte was sent.
 pub(super) fn is_connect_failure(error: &trillium_http::Error) -> bool {
     let trillium_http::Error::Io(error) = error else {
--- a/crates/agent/src/upstream/mod.rs
+++ b/crates/agent/src/upstream/mod.rs
@@ -63,7 +63,7 @@
         self.is_reachable.load(Ordering::Relaxed)
     }
 
-    /// Tries a connect, without sending anything.
+    /// Whether the instance takes a connection and keeps it.
     pub(crate) async fn probe(&self) -> bool {
         let is_reachable = self.connector.probe(&self.addr).await;
         self.is_reachable.store(is_reachable, Ordering::Relaxed);
--- a/crates/agent/tests/poison.rs
+++ b/crates/agent/tests/poison.rs
@@ -201,3 +201,28 @@
         .await;
     });
 }
+
+#[test]
+fn a_crashing_upstream_that_still_seems_to_listen_has_crashed() {
+    smol::block_on(async {
+        let listener = smol::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap().to_string();
+        let closing = smol::spawn(async move {
+            let mut open = Vec::new();
+            while let Ok((connection, _)) = listener.accept().await {
+                open.push(smol::spawn(async move {
+                    smol::Timer::after(std::time::Duration::from_millis(20)).await;
+                    drop(connection);
+                }));
+            }
+        });
+        let document = document(config::UpstreamKind::Engine, 4);
+        let agent = start_with(settings(&addr), document, Vec::new(), Store::new()).await;
+        let entry = Entry::of(&agent);
+
+        entry.dispatch(&content(POISON, "p-1")).await;
+
+        assert!(about(&entry.evidence().await, POISON).is_some());
+        drop(closing);
+    });
+}
