--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -1,7 +1,7 @@
 //! What all requests of one entry share.
 
 use std::{
-    sync::{Arc, Mutex},
+    sync::{atomic::AtomicU64, Arc, Mutex},
     time::Instant,
 };
 
@@ -11,7 +11,7 @@
 use shared_state::SharedState;
 use types::{ClassName, RequestId, TimeMs};
 
-use crate::{attempt::Transport, lifecycle::Lifecycle, pools::Pools, Settings};
+use crate::{attempt::Transport, lifecycle::Lifecycle, meters::Meters, pools::Pools, Settings};
 
 /// The places of requests in this entry.
 pub(crate) struct Places {
@@ -48,8 +48,11 @@
     pub(crate) transport: Transport,
     pub(crate) pools: Pools,
     pub(crate) lifecycle: Lifecycle,
+    pub(crate) meters: Meters,
     pub(crate) gate: Mutex<Places>,
     pub(crate) suspects: Mutex<SuspectMemory>,
+    /// Claims made since the last sweep.
+    pub(crate) claims_made: AtomicU64,
     budgets: Mutex<IndexMap<ClassName, RetryBudget>>,
     origin: Instant,
 }
@@ -61,8 +64,10 @@
             transport: Transport::new(settings.secrets.clone()),
             pools: Pools::new(&settings),
             lifecycle: Lifecycle::default(),
+            meters: Meters::new(),
             gate: Mutex::new(Places::new(in_flight_max)),
             suspects: Mutex::new(SuspectMemory::new()),
+            claims_made: AtomicU64::new(0),
             budgets: Mutex::new(IndexMap::new()),
             origin: Instant::now(),
             shared: parts.shared,
