Measure how configurations spread: cargo xtask measure config-spread

A change makes two calls in each process (shard and next watch); the delay before the fetch spreads them over processes times 2 ms, 3.5 s at 1,730. A hint from a peer does not start a second fetch of what the watch is fetching.

--- a/crates/limpetgw/tests/config_suite/config.rs
+++ b/crates/limpetgw/tests/config_suite/config.rs
@@ -173,10 +173,12 @@
         for name in others {
             fleet.freeze(name)?;
         }
+        // Their watches are answered now, by a refusal.
+        fleet.set_faults("platform", r#"{"down": true}"#).await?;
+        fleet.set_faults("platform", "{}").await?;
         fleet.submit(document(66)).await?;
         wait_in_force(&fleet, &["agent-0"], 2, IN_FORCE_LIMIT).await?;
-        let restarted = fleet.process_mut("platform")?;
-        restarted.kill()?;
+        fleet.process_mut("platform")?.kill()?;
         for name in others {
             fleet.thaw(name)?;
         }
--- a/crates/shared-state/src/follow/config.rs
+++ b/crates/shared-state/src/follow/config.rs
@@ -5,6 +5,7 @@
 use ::config::Head;
 use platform::StoreError;
 use telemetry::events::StateEvent;
+use types::Generation;
 
 use super::pace::{delay_before_fetch, jittered};
 use crate::{
@@ -72,10 +73,13 @@
     };
     let head = parse_head(&object.value)?;
     if head.generation > state.generation() {
+        state.note_fetching(head.generation);
         let processes = state.membership().all.len();
         smol::Timer::after(delay_before_fetch(processes, rand::random())).await;
     }
-    fetch(state, settings, head).await?;
+    let fetched = fetch(state, settings, head).await;
+    state.note_fetching(Generation(0));
+    fetched?;
     Ok(Some(object.version))
 }
 
--- a/crates/shared-state/src/follow/pace.rs
+++ b/crates/shared-state/src/follow/pace.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
-/// Store reads per second that the fetches after one change may add up to.
-const FETCH_READS_PER_S: u64 = 1_000;
+/// Store calls per second that the fetches after one change may add up to.
+const FETCH_CALLS_PER_S: u64 = 1_000;
+/// Store calls of one process after a change: the changed shard, and the
+/// next watch.
+const CALLS_PER_FETCH: u64 = 2;
 
 /// A random time around `mean`, from half of it to one and a half of it;
 /// `draw` lies in 0 to 1.
@@ -15,6 +18,7 @@
 /// fetches of all `processes` together keep within the store's rate.
 pub fn delay_before_fetch(processes: usize, draw: f64) -> Duration {
     let processes = u64::try_from(processes).unwrap_or(u64::MAX);
-    let span_ms = processes.saturating_mul(1000) / FETCH_READS_PER_S;
+    let calls = processes.saturating_mul(CALLS_PER_FETCH);
+    let span_ms = calls.saturating_mul(1000) / FETCH_CALLS_PER_S;
     Duration::from_millis(span_ms).mul_f64(draw.clamp(0.0, 1.0))
 }
--- a/crates/shared-state/src/follow/peers.rs
+++ b/crates/shared-state/src/follow/peers.rs
@@ -40,6 +40,9 @@
         if hint.generation <= state.generation() {
             continue;
         }
+        if state.store_answers() && state.is_fetching(hint.generation) {
+            continue;
+        }
         if state.store_answers() {
             smol::Timer::after(jittered(WATCH_HEAD_START, rand::random())).await;
             ask_store(&state, &settings, &hint).await;
--- a/crates/shared-state/src/state.rs
+++ b/crates/shared-state/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
         Arc, Mutex, MutexGuard,
     },
     time::Instant,
@@ -49,6 +49,8 @@
     /// `None` while the platform answers.
     list_unconfirmed_since: Mutex<Option<Instant>>,
     store_answers: AtomicBool,
+    /// Generation that is being fetched from the store; 0 if none is.
+    fetching: AtomicU64,
     hints: Sender<Hint>,
     /// Holds a token after the generation has risen.
     rises: (Sender<()>, Receiver<()>),
@@ -86,6 +88,7 @@
             tracker: Mutex::default(),
             list_unconfirmed_since: Mutex::new(None),
             store_answers: AtomicBool::new(true),
+            fetching: AtomicU64::new(0),
             hints,
             rises: smol::channel::bounded(1),
         }
@@ -259,6 +262,16 @@
         }
     }
 
+    /// Notes which generation is being fetched from the store.
+    pub(crate) fn note_fetching(&self, generation: Generation) {
+        self.fetching.store(generation.0, Ordering::Relaxed);
+    }
+
+    /// Whether a generation, or a higher one, is being fetched from the store.
+    pub(crate) fn is_fetching(&self, generation: Generation) -> bool {
+        self.fetching.load(Ordering::Relaxed) >= generation.0
+    }
+
     fn publish(&self, tracker: &MembershipTracker) {
         let view = tracker.view();
         telemetry::emit(&StateEvent::MembershipChanged {
--- a/xtask/src/measure/mod.rs
+++ b/xtask/src/measure/mod.rs
@@ -4,6 +4,7 @@
 //! variant of [`Measurement`], and its line in [`Measurement::run`].
 
 pub mod capacity;
+pub mod config_spread;
 pub mod fit;
 pub mod overhead;
 mod rivals;
@@ -26,6 +27,8 @@
     Overhead,
     /// What control costs a process, by the size of fleet and configuration.
     Capacity,
+    /// How soon a configuration is in force everywhere.
+    ConfigSpread,
     /// Everyone calls in the same second after a power cut.
     Surge,
     /// Short questions while long plans fill every engine.
@@ -72,6 +75,7 @@
         match self {
             Measurement::Overhead => overhead::run(programs).await,
             Measurement::Capacity => capacity::run(programs).await,
+            Measurement::ConfigSpread => config_spread::run(programs).await,
             Measurement::Surge => surge::run(programs).await,
             Measurement::ShortBehindLong => short_behind_long::run(programs).await,
             Measurement::Stragglers => stragglers::run(programs).await,
