Read the head without a watch only after quiet watches

Cause: every fourth call was a plain read even while watches brought news, one read more in each process for four changes.

--- a/crates/shared-state/src/follow/config.rs
+++ b/crates/shared-state/src/follow/config.rs
@@ -26,15 +26,16 @@
     let mut quiet = QUIET_WATCHES_BEFORE_READ;
     loop {
         let seen = if quiet >= QUIET_WATCHES_BEFORE_READ {
-            quiet = 0;
             read(&state, &settings).await
         } else {
-            quiet += 1;
             watch(&state, &settings, version).await
         };
         match seen {
-            Ok(Some(seen)) => version = seen,
-            Ok(None) => {}
+            Ok(Some(seen)) => {
+                version = seen;
+                quiet = 0;
+            }
+            Ok(None) => quiet += 1,
             Err(error) => {
                 log::debug!("reading the configuration failed: {error}");
                 // After a failed watch the head is read without one.
