--- a/crates/shared-state/src/follow/config.rs
+++ b/crates/shared-state/src/follow/config.rs
@@ -5,6 +5,7 @@
 use ::config::Head;
 use platform::StoreError;
 use telemetry::events::StateEvent;
+use types::Generation;
 
 use super::pace::{delay_before_fetch, jittered};
 use crate::{
@@ -25,15 +26,16 @@
     let mut quiet = QUIET_WATCHES_BEFORE_READ;
     loop {
         let seen = if quiet >= QUIET_WATCHES_BEFORE_READ {
-            quiet = 0;
             read(&state, &settings).await
         } else {
-            quiet += 1;
             watch(&state, &settings, version).await
         };
         match seen {
-            Ok(Some(seen)) => version = seen,
-            Ok(None) => {}
+            Ok(Some(seen)) => {
+                version = seen;
+                quiet = 0;
+            }
+            Ok(None) => quiet += 1,
             Err(error) => {
                 log::debug!("reading the configuration failed: {error}");
                 // After a failed watch the head is read without one.
@@ -72,10 +74,13 @@
     };
     let head = parse_head(&object.value)?;
     if head.generation > state.generation() {
+        state.note_fetching(head.generation);
         let processes = state.membership().all.len();
         smol::Timer::after(delay_before_fetch(processes, rand::random())).await;
     }
-    fetch(state, settings, head).await?;
+    let fetched = fetch(state, settings, head).await;
+    state.note_fetching(Generation(0));
+    fetched?;
     Ok(Some(object.version))
 }
 
