--- a/crates/entry/src/attempt/session.rs
+++ b/crates/entry/src/attempt/session.rs
@@ -37,14 +37,22 @@
     pub(crate) request: Request,
     pub(crate) attempts: u32,
     excluded: Vec<InstanceId>,
-    /// Address of the last attempt's agent.
-    last_addr: Option<Arc<str>>,
+    /// The agent of the attempt that was concluded last.
+    last_agent: Option<LastAgent>,
     /// Whether an attempt may have run.
     may_have_run: bool,
     place: Place,
     in_flight: InFlight,
 }
 
+/// The agent of an attempt.
+struct LastAgent {
+    instance: InstanceId,
+    addr: Arc<str>,
+    /// Whether it showed a sign of life.
+    answers: bool,
+}
+
 impl Session {
     pub(crate) fn new(app: Arc<App>, request: Request, place: Place, in_flight: InFlight) -> Self {
         app.with_budget(&request.class, |budget| budget.on_request());
@@ -53,7 +61,7 @@
             request,
             attempts: 0,
             excluded: Vec::new(),
-            last_addr: None,
+            last_agent: None,
             may_have_run: false,
             place,
             in_flight,
@@ -114,13 +122,14 @@
     ///
     /// `quarantined` if this request's content is refused from now on.
     async fn learn_from(&mut self, failure: &Failure) -> Result<(), Failure> {
-        let Some(addr) = &self.last_addr else {
+        let answering = self.last_agent.as_ref().filter(|agent| agent.answers);
+        let Some(agent) = answering else {
             return Ok(());
         };
         if failure.code != ErrorCode::UpstreamFailed {
             return Ok(());
         }
-        exchange(&self.app, addr).await;
+        exchange(&self.app, &agent.addr).await;
         match check_quarantine(&self.app, self.request.fingerprint) {
             Ok(suspect) => self.request.suspect |= suspect,
             Err(refusal) => return Err(self.overall(refusal)),
@@ -199,13 +208,14 @@
         mut sending: Sending,
         waited: Waited,
     ) -> Result<OpenAnswer, Failure> {
-        self.last_addr = Some(sending.addr.clone());
+        self.last_agent = Some(LastAgent {
+            instance: sending.sent.candidate.member.instance.clone(),
+            addr: sending.addr.clone(),
+            answers: matches!(waited, Waited::Head(_)),
+        });
         let head = match waited {
             Waited::Head(head) => *head,
-            Waited::Silent | Waited::Impatient => {
-                self.last_addr = None;
-                return Err(self.on_silent(&sending));
-            }
+            Waited::Silent | Waited::Impatient => return Err(self.on_silent(&sending)),
             Waited::Late => return Err(self.on_late(&mut sending).await),
         };
         if let Some(reply) = &head.reply {
@@ -353,7 +363,7 @@
     }
 
     fn log_failed_attempt(&self, failure: &Failure) {
-        let Some(instance) = self.excluded.last() else {
+        let Some(agent) = &self.last_agent else {
             return;
         };
         self.app
@@ -362,7 +372,7 @@
         emit(&EntryEvent::AttemptFailed {
             request_id: self.request.request_id.clone(),
             attempt: self.attempts,
-            instance: instance.clone(),
+            instance: agent.instance.clone(),
             code: failure.code,
             verdict: failure.verdict,
         });
