Entry: a refused dispatch cancels nothing at the agent

An agent refuses a second request of an id that it holds. The entry then cancelled that id there, which took the first one's answer away, whoever sent it. Seen red by mutation (a_refused_duplicate_cancels_nothing).

--- a/crates/entry/src/attempt/session.rs
+++ b/crates/entry/src/attempt/session.rs
@@ -229,7 +229,7 @@
                 sending.addr,
             )),
             Err(failure) => {
-                if failure.verdict == Verdict::NotRun {
+                if head.refused || failure.verdict == Verdict::NotRun {
                     sending.cancel.disarm();
                 }
                 self.on_failed_attempt(&sending.sent, &failure);
--- a/crates/entry/src/attempt/transport.rs
+++ b/crates/entry/src/attempt/transport.rs
@@ -16,6 +16,8 @@
 pub(crate) struct Head {
     /// The agent's own words, if its header was readable.
     pub(crate) reply: Option<DispatchReply>,
+    /// Whether the agent itself refused, so that it does not hold the request.
+    pub(crate) refused: bool,
     /// The open answer, or why there is none.
     pub(crate) answer: Result<Conn, Failure>,
 }
@@ -49,6 +51,7 @@
             Err(error) => {
                 return Head {
                     reply: None,
+                    refused: false,
                     answer: Err(transport_failure(&error)),
                 }
             }
@@ -60,33 +63,39 @@
         if conn.status().is_some_and(|status| status as u16 == 200) {
             return Head {
                 reply,
+                refused: false,
                 answer: Ok(conn),
             };
         }
+        let refusal = read_refusal(&mut conn).await;
         Head {
             reply,
-            answer: Err(read_refusal(&mut conn).await),
+            refused: refusal.is_some(),
+            answer: Err(refusal.unwrap_or_else(unreadable)),
         }
     }
 }
 
-/// The agent's refusal. Without a readable body nothing is proved.
-async fn read_refusal(conn: &mut Conn) -> Failure {
+/// The agent's refusal, if it can be read.
+async fn read_refusal(conn: &mut Conn) -> Option<Failure> {
     let body = conn.response_body().with_max_len(ERROR_BODY_MAX_BYTES);
     let text = body.read_bytes().await.unwrap_or_default();
-    match serde_json::from_slice::<ErrorBody>(&text) {
-        Ok(body) => Failure {
-            code: body.error.code,
-            verdict: body.error.verdict,
-            message: body.error.message,
-            retry_after_ms: body.error.retry_after_ms,
-        },
-        Err(_) => Failure::new(
-            ErrorCode::UpstreamFailed,
-            Verdict::MayHaveRun,
-            "the upstream's agent answered with an unreadable error",
-        ),
-    }
+    let body: ErrorBody = serde_json::from_slice(&text).ok()?;
+    Some(Failure {
+        code: body.error.code,
+        verdict: body.error.verdict,
+        message: body.error.message,
+        retry_after_ms: body.error.retry_after_ms,
+    })
+}
+
+/// Without a readable refusal nothing is proved.
+fn unreadable() -> Failure {
+    Failure::new(
+        ErrorCode::UpstreamFailed,
+        Verdict::MayHaveRun,
+        "the upstream's agent answered with an unreadable error",
+    )
 }
 
 fn transport_failure(error: &trillium_http::Error) -> Failure {
--- a/crates/entry/tests/attempts.rs
+++ b/crates/entry/tests/attempts.rs
@@ -268,6 +268,23 @@
     });
 }
 
+/// The agent holds another request of the same id; cancelling "ours" would
+/// cancel that one.
+#[rstest]
+fn a_refused_duplicate_cancels_nothing() {
+    run(async {
+        let refusal = Reaction::Refuse(ErrorCode::InProgress, Verdict::MayHaveRun);
+        let agent = FakeAgent::start("a-1", vec![refusal]).await;
+        let bench = bench(vec![agent.instance("carving")]).await;
+
+        let (status, body) = answered(bench.chat(false)).await;
+        smol::Timer::after(std::time::Duration::from_millis(300)).await;
+
+        assert_eq!(status, 409, "{body}");
+        assert!(agent.recalls().is_empty());
+    });
+}
+
 /// An agent that said that it leaves gets nothing new from this entry, although
 /// the list still has it.
 #[rstest]
