Red test: a fresh agent runs one request at a time

Seen in the demonstration: class history waited up to 6.8 s for its first token while the engines were under half used. Cause: an agent that starts before it has a configuration makes its scheduler with running_max 1, so the adaptive limit is 1; when the configuration raises the bound to 16, RunningLimit::set_bounds clamps and keeps 1, and the limit then rises by one per window of 250 ms at best. Ruled out: the choice of instance, pauses (none logged).

--- a/crates/harness/src/fleet/look.rs
+++ b/crates/harness/src/fleet/look.rs
@@ -84,6 +84,18 @@
         })
     }
 
+    /// Requests that run in an engine, by its own load report; without a lag
+    /// only if the engine has `--load-lag-ms 0`.
+    ///
+    /// # Errors
+    ///
+    /// When it does not answer.
+    pub async fn running(&self, engine: &str) -> Result<usize, HarnessError> {
+        let url = format!("http://{}/load", self.process(engine)?.addr());
+        let load = call_json(&self.http, Method::Get, &url, None).await?;
+        Ok(load["running"].as_u64().unwrap_or(0) as usize)
+    }
+
     /// The text that a process answers to a GET, such as `/metrics` on the
     /// internal address of an entry or agent, with the status.
     ///
--- a/crates/limpetgw/tests/whole_path.rs
+++ b/crates/limpetgw/tests/whole_path.rs
@@ -18,6 +18,9 @@
 /// Longest wait until a caller's hanging up has reached the engine; far below
 /// the class's deadline of a minute.
 const CANCEL_LIMIT: Duration = Duration::from_secs(10);
+/// Longest wait until every question has a running slot, far above the time
+/// that starting them takes and below the time that they run.
+const START_LIMIT: Duration = Duration::from_secs(5);
 /// Questions that are under way when something happens.
 const AT_ONCE: usize = 12;
 
@@ -271,6 +274,40 @@
     })
 }
 
+/// The engine takes 16 at once and so may the agent from its start on.
+#[test]
+fn a_fresh_agent_uses_the_whole_running_limit() -> Checked {
+    const RUNNING_MAX: usize = 16;
+
+    smol::block_on(async {
+        let mut plan = paced(1);
+        plan.engine_args.extend(args("--load-lag-ms 0"));
+        let fleet = Fleet::start(plan).await?;
+        let callers = [fleet.caller(0)];
+        // Ten seconds each: none ends before the last one could have started.
+        let asking = async_global_executor::spawn(async move {
+            ask_all(&callers, RUNNING_MAX, 1_000).await;
+        });
+
+        let all_run = async {
+            while fleet.running("engine-0").await? < RUNNING_MAX {
+                smol::Timer::after(Duration::from_millis(10)).await;
+            }
+            Ok::<bool, HarnessError>(true)
+        };
+        let too_late = async {
+            smol::Timer::after(START_LIMIT).await;
+            Ok(false)
+        };
+        let all_run = future::or(all_run, too_late).await?;
+
+        let running = fleet.running("engine-0").await?;
+        assert!(all_run, "{running} of {RUNNING_MAX} run");
+        drop(asking);
+        Ok(())
+    })
+}
+
 #[test]
 fn a_vanished_caller_frees_the_engine() -> Checked {
     smol::block_on(async {
