--- /dev/null
+++ b/crates/platform/tests/suite/limits.rs
@@ -0,0 +1,46 @@
+//! The limiter's bucket, in virtual time.
+
+use std::time::{Duration, Instant};
+
+use platform::Bucket;
+use proptest::prelude::*;
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_204),
+        ..ProptestConfig::default()
+    })]
+
+    /// In any window the turns given are at most the burst and what the rate
+    /// adds, no turn is further away than the longest wait, and a call that
+    /// finds the bucket idle gets its turn at once.
+    #[test]
+    fn turns_keep_within_rate_and_burst(
+        rate_per_s in 1.0_f64..200.0,
+        burst in 1.0_f64..50.0,
+        gaps_ms in prop::collection::vec(0_u64..300, 1..200),
+    ) {
+        let wait_max = Duration::from_secs(1);
+        let origin = Instant::now();
+        let mut bucket = Bucket::new(rate_per_s, burst, origin);
+        let mut now = origin;
+        let mut turns: Vec<f64> = Vec::new();
+        for gap_ms in gaps_ms {
+            now += Duration::from_millis(gap_ms);
+            if let Some(wait) = bucket.reserve(now, wait_max) {
+                prop_assert!(wait <= wait_max);
+                turns.push((now + wait - origin).as_secs_f64());
+            }
+        }
+        prop_assert!(turns.first().is_some_and(|first| *first <= 0.3), "the first is at once");
+        for start in 0..turns.len() {
+            for end in start..turns.len() {
+                let given = (end - start + 1) as f64;
+                let allowed = burst + rate_per_s * (turns[end] - turns[start]) + 1e-6;
+                prop_assert!(given <= allowed, "{} turns, {} allowed", given, allowed);
+            }
+        }
+    }
+}
