--- a/crates/limpetgw/tests/config_suite/config.rs
+++ b/crates/limpetgw/tests/config_suite/config.rs
@@ -188,6 +188,29 @@
     })
 }
 
+/// Watches bring the new head, but the store hangs when the shards are read:
+/// the processes get them from the one that has them.
+#[test]
+fn a_change_spreads_from_one_process_while_the_store_hangs() -> Checked {
+    smol::block_on(async {
+        let mut fleet = Fleet::start(plan()).await?;
+        let others = ["entry-0", "entry-1", "agent-1"];
+        for name in others {
+            fleet.freeze(name)?;
+        }
+        fleet.submit(document(66)).await?;
+        wait_in_force(&fleet, &["agent-0"], 2, IN_FORCE_LIMIT).await?;
+        let hangs = r#"{"slow_ms": 60000, "only_kind": "config-shard"}"#;
+        fleet.set_faults("platform", hangs).await?;
+        for name in others {
+            fleet.thaw(name)?;
+        }
+
+        wait_in_force(&fleet, &ALL, 2, IN_FORCE_LIMIT).await?;
+        Ok(())
+    })
+}
+
 /// A store that lost everything and starts again with an older document
 /// reverts no process, and the next submission goes above all of them.
 #[test]
--- a/crates/shared-state/src/follow/config.rs
+++ b/crates/shared-state/src/follow/config.rs
@@ -80,6 +80,10 @@
     }
     let fetched = fetch(state, settings, head).await;
     state.note_fetching(Generation(0));
+    if fetched.is_err() {
+        // Peers may have what the store does not give.
+        state.ask_peers_soon();
+    }
     fetched?;
     Ok(Some(object.version))
 }
--- a/crates/shared-state/src/follow/mod.rs
+++ b/crates/shared-state/src/follow/mod.rs
@@ -32,6 +32,6 @@
     let (shared, from) = tasks();
     async_global_executor::spawn(peers::follow_hints(shared, from, hints)).detach();
     let (shared, from) = tasks();
-    let rises = state.rises();
-    async_global_executor::spawn(peers::compare_generations(shared, from, rises)).detach();
+    let due = state.comparisons_due();
+    async_global_executor::spawn(peers::compare_generations(shared, from, due)).detach();
 }
--- a/crates/shared-state/src/follow/peers.rs
+++ b/crates/shared-state/src/follow/peers.rs
@@ -105,16 +105,20 @@
 pub(super) async fn compare_generations(
     state: Arc<SharedState>,
     settings: Arc<Settings>,
-    rises: Receiver<()>,
+    due: Receiver<()>,
 ) {
     loop {
         let pause = jittered(settings.compare_interval, rand::random());
-        let risen = async { rises.recv().await.is_ok() };
+        let due_now = async { due.recv().await.is_ok() };
         let quiet = async {
             smol::Timer::after(pause).await;
             false
         };
-        let peers_asked = if risen.or(quiet).await { PEERS_TOLD } else { 1 };
+        let peers_asked = if due_now.or(quiet).await {
+            PEERS_TOLD
+        } else {
+            1
+        };
         compare_with(&state, &settings, peers_asked).await;
     }
 }
--- a/crates/shared-state/src/state.rs
+++ b/crates/shared-state/src/state.rs
@@ -52,8 +52,8 @@
     /// Generation that is being fetched from the store; 0 if none is.
     fetching: AtomicU64,
     hints: Sender<Hint>,
-    /// Holds a token after the generation has risen.
-    rises: (Sender<()>, Receiver<()>),
+    /// Holds a token when generations are to be compared with several peers.
+    comparison_due: (Sender<()>, Receiver<()>),
 }
 
 impl SharedState {
@@ -90,7 +90,7 @@
             store_answers: AtomicBool::new(true),
             fetching: AtomicU64::new(0),
             hints,
-            rises: smol::channel::bounded(1),
+            comparison_due: smol::channel::bounded(1),
         }
     }
 
@@ -205,8 +205,7 @@
         metrics::gauge!("limpetgw_config_generation").set(applied.generation().0 as f64);
         self.snapshot.store(applied.snapshot.clone());
         self.applied.store(Arc::new(applied));
-        // A token that is there already tells the same.
-        let _ = self.rises.0.try_send(());
+        self.ask_peers_soon();
         Ok(true)
     }
 
@@ -246,9 +245,16 @@
         }
     }
 
-    /// Receives a token after each rise of the generation.
-    pub(crate) fn rises(&self) -> Receiver<()> {
-        self.rises.1.clone()
+    /// Receives a token when generations are to be compared with several
+    /// peers at once: after a rise, and after a known rise could not be fetched.
+    pub(crate) fn comparisons_due(&self) -> Receiver<()> {
+        self.comparison_due.1.clone()
+    }
+
+    /// Lets the generation be compared with several peers at once.
+    pub(crate) fn ask_peers_soon(&self) {
+        // A token that is there already tells the same.
+        let _ = self.comparison_due.0.try_send(());
     }
 
     /// Whether the last call to the store was answered.
