Give a raised bound to a running limit that was never lowered

Cause: an agent that starts before its configuration makes its scheduler with a bound of 1; when the configuration raised the bound to 16 the limit stayed at 1 and then rose by one a window, in every fresh agent. Ruled out: starting at the middle of the bounds, which would forget what late first tokens had shown.

--- a/crates/policy/src/schedule/limit.rs
+++ b/crates/policy/src/schedule/limit.rs
@@ -47,9 +47,15 @@
     }
 
     pub(super) fn set_bounds(&mut self, min: u32, max: u32) {
+        let was_full = self.limit == self.max;
         self.min = min.max(1);
         self.max = max.max(self.min);
-        self.limit = self.limit.clamp(self.min, self.max);
+        // Only a limit that was lowered by late first tokens says something
+        // about the engine.
+        self.limit = match was_full {
+            true => self.max,
+            false => self.limit.clamp(self.min, self.max),
+        };
     }
 
     pub(super) fn limit(&self) -> usize {
