--- a/crates/console/src/config_command.rs
+++ b/crates/console/src/config_command.rs
@@ -6,8 +6,11 @@
 };
 
 use config::{Document, Issue, SessionEntry};
+use rpc::methods::{GetConfig, GetConfigParams};
 use serde::{Deserialize, Serialize};
-use shared_state::{read_head, SessionId, StoredHead, Submission, SubmitError};
+use shared_state::{
+    parse_head, read_head, Applied, ReadError, SessionId, StoredHead, Submission, SubmitError,
+};
 use telemetry::events::OperatorEvent;
 use types::Generation;
 
@@ -17,6 +20,8 @@
     Operator, OperatorError,
 };
 
+/// Longest wait for one process's configuration.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause between two rounds of asking the fleet.
 const WAIT_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -168,6 +173,36 @@
     Ok((stored.head.generation, document))
 }
 
+/// The document in force in the process at `addr` (`IP:port`), for when the
+/// store has lost it or is down.
+///
+/// # Errors
+///
+/// [`OperatorError`] when the process does not answer or has none.
+pub async fn show_from(
+    operator: &Operator,
+    addr: &str,
+) -> Result<(Generation, Document), OperatorError> {
+    let params = GetConfigParams {
+        above: Generation(0),
+        known_shards: Vec::new(),
+    };
+    let answered = operator
+        .peers
+        .call::<GetConfig>(addr, Generation(0), params, CALL_TIMEOUT)
+        .await
+        .map_err(|error| OperatorError::Call {
+            instance: addr.to_string(),
+            error,
+        })?;
+    let bundle = answered.answer.ok_or(OperatorError::NoConfiguration)?;
+    let head = parse_head(&bundle.head)?;
+    let none = Applied::default();
+    let shards = none.join(&head, bundle);
+    let applied = Applied::new(head, shards, &none).map_err(ReadError::from)?;
+    Ok((applied.generation(), applied.snapshot.document.clone()))
+}
+
 /// What a document would change.
 ///
 /// # Errors
--- a/crates/console/src/lib.rs
+++ b/crates/console/src/lib.rs
@@ -12,8 +12,8 @@
 
 pub use answers::{lead, AnswerSource, FileAnswers, SourceError};
 pub use config_command::{
-    begin_session, diff, history, read_document, show, submit, submit_text, wait, HistoryLine,
-    SubmitArgs, SubmitReport, WaitReport,
+    begin_session, diff, history, read_document, show, show_from, submit, submit_text, wait,
+    HistoryLine, SubmitArgs, SubmitReport, WaitReport,
 };
 pub use difference::{difference, Change};
 pub use fleet::{drain, generation_floor, status, status_text, FleetStatus, InstanceReport};
--- a/crates/limpetgw/src/cli/config.rs
+++ b/crates/limpetgw/src/cli/config.rs
@@ -8,6 +8,7 @@
 use types::Generation;
 
 use super::{
+    common::checked_addr,
     operator::{lines, OperatorArgs},
     CliError,
 };
@@ -23,6 +24,10 @@
 enum ConfigCommand {
     /// Print the document in force.
     Show {
+        /// Internal address (IP:port) of an entry or agent to ask instead of
+        /// the store.
+        #[arg(long, env = "LIMPETGW_FROM")]
+        from: Option<String>,
         #[command(flatten)]
         operator: OperatorArgs,
     },
@@ -82,7 +87,7 @@
 impl ConfigArgs {
     pub(crate) async fn run(&self) -> Result<(), CliError> {
         match &self.command {
-            ConfigCommand::Show { operator } => show(operator).await,
+            ConfigCommand::Show { from, operator } => show(from.as_deref(), operator).await,
             ConfigCommand::Diff { file, operator } => diff(file, operator).await,
             ConfigCommand::Submit(command) => command.run().await,
             ConfigCommand::Wait {
@@ -116,8 +121,15 @@
     }
 }
 
-async fn show(args: &OperatorArgs) -> Result<(), CliError> {
-    let (generation, document) = ::console::show(&args.operator()?).await?;
+async fn show(from: Option<&str>, args: &OperatorArgs) -> Result<(), CliError> {
+    let operator = args.operator()?;
+    let (generation, document) = match from {
+        Some(from) => {
+            let addr = checked_addr("--from", from)?;
+            ::console::show_from(&operator, &addr).await?
+        }
+        None => ::console::show(&operator).await?,
+    };
     eprintln!("generation {}", generation.0);
     args.print(&document, |document| {
         // Plain data: serialization can't fail.
--- a/crates/limpetgw/tests/config_suite/config.rs
+++ b/crates/limpetgw/tests/config_suite/config.rs
@@ -233,7 +233,11 @@
             }
             smol::Timer::after(Duration::from_millis(150)).await;
         }
-        let file = document_file(99)?;
+        // What is in force is had from a process, and submitted again.
+        let addr = fleet.process("agent-0")?.internal_addr().to_string();
+        let shown = run(&fleet, &["config", "show", "--from", &addr])?;
+        assert!(shown.out.contains(r#""queue_limit": 77"#), "{shown:?}");
+        let file = TempFile::new(&shown.out)?;
         let done = run(&fleet, &["config", "submit", &file.path()])?;
 
         assert_eq!(done.code, Some(0), "{done:?}");
--- a/crates/telemetry/src/events/state.rs
+++ b/crates/telemetry/src/events/state.rs
@@ -19,7 +19,7 @@
             /// Generation in force.
             in_force: Generation,
         } = "The store answered with an older configuration than the one in force; the process keeps its own.",
-            "If it lasts, the store was set back: submit the document in force again (`limpetgw config show --from INSTANCE`).";
+            "If it lasts, the store was set back: submit the document in force again (`limpetgw config show --from ADDRESS` prints it).";
         3002 Warn PeerConfigurationRefused {
             /// Internal address of the peer.
             peer_addr: String,
