--- a/crates/console/src/fleet.rs
+++ b/crates/console/src/fleet.rs
@@ -4,7 +4,7 @@
 
 use futures_lite::StreamExt;
 use platform::{Instance, InstanceState, Role};
-use rpc::methods::{Drain, GetStatus, Status};
+use rpc::methods::{Drain, GetMembership, GetStatus, Status};
 use serde::{Deserialize, Serialize};
 use types::{Generation, InstanceId, UpstreamName, ZoneName};
 
@@ -141,9 +141,22 @@
         })
 }
 
+/// The platform's list, or that of the first seed that answers.
 async fn listed(operator: &Operator) -> Result<Vec<Instance>, OperatorError> {
-    let list = operator.instances.instances(None, STATUS_TIMEOUT).await?;
-    Ok(list.unwrap_or_default().instances)
+    let failed = match operator.instances.instances(None, STATUS_TIMEOUT).await {
+        Ok(list) => return Ok(list.unwrap_or_default().instances),
+        Err(error) => error,
+    };
+    for seed in &operator.seeds {
+        let answer = operator
+            .peers
+            .call::<GetMembership>(seed, Generation::default(), (), STATUS_TIMEOUT)
+            .await;
+        if let Ok(answered) = answer {
+            return Ok(answered.answer.list.instances);
+        }
+    }
+    Err(failed.into())
 }
 
 pub(crate) async fn ask_all(operator: &Operator, list: Vec<Instance>) -> Vec<InstanceReport> {
--- a/crates/console/src/operator.rs
+++ b/crates/console/src/operator.rs
@@ -17,6 +17,8 @@
     pub instances: Arc<dyn InstanceSource>,
     /// Calls to entries and agents.
     pub peers: rpc::Client,
+    /// Internal addresses asked for the list while the platform is down.
+    pub seeds: Vec<Arc<str>>,
 }
 
 /// An operator command failed.
--- a/crates/limpetgw/src/cli/operator.rs
+++ b/crates/limpetgw/src/cli/operator.rs
@@ -6,7 +6,10 @@
 use clap::{Args, ValueEnum};
 use serde::Serialize;
 
-use super::{common::PlatformArgs, CliError};
+use super::{
+    common::{checked_addr, PlatformArgs},
+    CliError,
+};
 
 /// Sender of operator commands' calls.
 const SENDER: &str = "operator";
@@ -26,6 +29,10 @@
 pub(crate) struct OperatorArgs {
     #[command(flatten)]
     platform: PlatformArgs,
+    /// Internal addresses (IP:port) of entries or agents that are asked for
+    /// the instance list while the platform is down.
+    #[arg(long, env = "LIMPETGW_SEEDS", value_delimiter = ',')]
+    seeds: Vec<String>,
     /// Form of the output.
     #[arg(long, env = "LIMPETGW_OUTPUT", value_enum, default_value = "text")]
     pub(crate) output: Output,
@@ -35,7 +42,9 @@
     pub(crate) fn operator(&self) -> Result<Operator, CliError> {
         let platform = Arc::new(self.platform.client()?);
         let secrets = self.platform.secrets()?;
+        let seeds = self.seeds.iter().map(|seed| checked_addr("--seeds", seed));
         Ok(Operator {
+            seeds: seeds.collect::<Result<_, _>>()?,
             store: platform.clone(),
             instances: platform,
             peers: rpc::Client::new(SENDER.into(), secrets),
--- a/crates/limpetgw/tests/config_suite/console.rs
+++ b/crates/limpetgw/tests/config_suite/console.rs
@@ -97,3 +97,34 @@
         Ok(())
     })
 }
+
+/// While the platform is down, the commands get the instances from a seed.
+#[test]
+fn status_and_drain_work_from_a_seed_in_an_outage() -> Checked {
+    smol::block_on(async {
+        let mut fleet = Fleet::start(FleetPlan::builder().engines(2).build()).await?;
+        let seed = fleet.process("agent-1")?.internal_addr().to_string();
+        fleet.set_faults("platform", r#"{"down": true}"#).await?;
+
+        let blind = run(&fleet, &["status"])?;
+        let status = run(&fleet, &["status", "--seeds", &seed])?;
+        let drained = run(&fleet, &["drain", "agent-0", "--seeds", &seed])?;
+
+        assert_eq!(blind.code, Some(1), "{blind:?}");
+        assert!(
+            status.out.contains("can't be read"),
+            "the store: {status:?}"
+        );
+        for name in ["agent-0", "agent-1", "entry-0"] {
+            assert!(status.out.contains(&format!("{name} az-")), "{status:?}");
+        }
+        assert_eq!(drained.code, Some(0), "{drained:?}");
+        let limit = std::time::Duration::from_secs(20);
+        assert!(fleet
+            .process_mut("agent-0")?
+            .wait_exit(limit)
+            .await?
+            .success());
+        Ok(())
+    })
+}
