Refuse a document in which a name stands twice

Cause: the JSON reader keeps the last of two equal keys, so an operator who wrote a class twice lost one without a word.

--- a/crates/config/src/validate/mod.rs
+++ b/crates/config/src/validate/mod.rs
@@ -5,6 +5,7 @@
 
 mod parse;
 mod rules;
+mod unique_keys;
 
 use std::fmt;
 
--- a/crates/config/src/validate/parse.rs
+++ b/crates/config/src/validate/parse.rs
@@ -7,7 +7,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::{json, Map, Value};
 
-use super::Issue;
+use super::{unique_keys::UniqueKeys, Issue};
 use crate::{CallerLimits, Class, Document, Service, Team, Upstream};
 
 const SECTIONS: [&str; 5] = ["classes", "teams", "upstreams", "services", "limits"];
@@ -26,7 +26,7 @@
 /// Reads what can be read of a document and lists what can't.
 pub(super) fn parse(text: &str) -> Parsed {
     let mut parsed = Parsed::default();
-    match serde_json::from_str::<Value>(text) {
+    match serde_json::from_str(text).map(|UniqueKeys(value)| value) {
         Ok(Value::Object(sections)) => read_sections(sections, &mut parsed),
         Ok(other) => {
             let rule = format!("a JSON object with the sections {}", SECTIONS.join(", "));
--- a/crates/config/tests/suite/validation.rs
+++ b/crates/config/tests/suite/validation.rs
@@ -91,6 +91,19 @@
     assert_eq!(sorted, expected);
 }
 
+#[test]
+fn a_name_that_stands_twice_is_an_error() {
+    let limits = r#"{"limits": {"body_max_bytes": 2048, "body_max_bytes": 4096}}"#;
+
+    let refused = Document::parse(limits).expect_err("it stands twice");
+
+    let rule = &refused.errors[0].rule;
+    assert!(
+        rule.contains("`body_max_bytes` stands twice at line 1"),
+        "{rule}"
+    );
+}
+
 #[test]
 fn a_pasted_key_is_not_shown_in_an_error() {
     let document = altered("/teams/clinic/key_digests", json!(["lgw-secret"]));
