Notice a straggler by the stall of its streams

Cause: when an engine becomes five times slower, its streams say so only with the third late token (each 50 ms apart), and until then it gets its part of the new requests: about 4 to 5 in each turn, near one in a hundred of all. Ruled out: a heavier weight of each token gap (0.4 in place of 0.2 changed the 99th percentile in virtual time by less than a millisecond).

--- a/crates/policy/src/choice/aged.rs
+++ b/crates/policy/src/choice/aged.rs
@@ -20,6 +20,8 @@
 const FIRST_TOKEN_NOISE_MS: f64 = 5.0;
 /// Difference of token gaps that says little, in milliseconds.
 const TOKEN_GAP_NOISE_MS: f64 = 1.0;
+/// Pause of all streams that says little, in milliseconds.
+const STALL_NOISE_MS: f64 = 5.0;
 /// Time after which an observation counts half in a score, in milliseconds.
 const OBSERVATION_HALF_LIFE_MS: f64 = 250.0;
 /// Extra cost of an instance in another zone, as a factor.
@@ -149,7 +151,9 @@
     let first_token = ratio(first_token, usual.first_token_ms, FIRST_TOKEN_NOISE_MS);
     let token_gap = ratio(token_gap, usual.token_gap_ms, TOKEN_GAP_NOISE_MS);
     let silence = ratio(silence, usual.first_token_ms, FIRST_TOKEN_NOISE_MS);
-    first_token.max(token_gap).max(silence)
+    let stalled = candidate.stalled_ms(now) as f64;
+    let stalled = ratio(stalled, usual.token_gap_ms, STALL_NOISE_MS);
+    first_token.max(token_gap).max(silence).max(stalled)
 }
 
 /// Slowness as it counts in a score: an old observation counts less, so that a
--- a/crates/policy/src/choice/candidate.rs
+++ b/crates/policy/src/choice/candidate.rs
@@ -24,6 +24,8 @@
     awaiting: AtomicU32,
     /// Time since when a first token is awaited.
     awaiting_since: AtomicU64,
+    /// Last token of any request.
+    last_token_at: AtomicU64,
     /// Last time when a request was sent that had to wait for a slot.
     queued_at: AtomicU64,
     first_token: Average,
@@ -119,6 +121,7 @@
             in_flight: AtomicU32::new(0),
             awaiting: AtomicU32::new(0),
             awaiting_since: AtomicU64::new(0),
+            last_token_at: AtomicU64::new(0),
             queued_at: AtomicU64::new(0),
             first_token: Average::default(),
             token_gap: Average::default(),
@@ -150,6 +153,7 @@
         }
         decrement(&self.awaiting);
         self.awaiting_since.store(now.0, Ordering::Relaxed);
+        self.last_token_at.store(now.0, Ordering::Relaxed);
         self.failures.store(0, Ordering::Relaxed);
         self.avoid_until.store(0, Ordering::Relaxed);
     }
@@ -167,6 +171,7 @@
 
     /// Notes a later token, `gap_ms` after the one before.
     pub fn on_token_gap(&self, now: TimeMs, gap_ms: u64) {
+        self.last_token_at.store(now.0, Ordering::Relaxed);
         let usual_ms = self.token_gap.get().unwrap_or(gap_ms as f32) as u64 + 1;
         let gap_ms = gap_ms.min(usual_ms.saturating_mul(Self::TOKEN_GAP_OUTLIER));
         self.token_gap.add(now, gap_ms, Self::TOKEN_GAP_WEIGHT);
@@ -284,6 +289,16 @@
         now.since(TimeMs(since)).min(self.token_gap.idle_ms(now))
     }
 
+    /// Time for which no stream under way has had a token, in milliseconds.
+    pub(super) fn stalled_ms(&self, now: TimeMs) -> u64 {
+        let awaiting = self.awaiting.load(Ordering::Relaxed);
+        if self.in_flight() <= awaiting {
+            return 0;
+        }
+        let last = TimeMs(self.last_token_at.load(Ordering::Relaxed));
+        now.since(last)
+    }
+
     /// Whether a first token is awaited.
     pub(super) fn is_awaited(&self) -> bool {
         self.awaiting.load(Ordering::Relaxed) > 0
--- a/crates/policy/tests/choice.rs
+++ b/crates/policy/tests/choice.rs
@@ -144,6 +144,27 @@
     assert_eq!(sent.get(frozen.member.instance.as_str()), None);
 }
 
+#[test]
+fn an_instance_whose_streams_stall_is_avoided_before_their_next_token() {
+    let pool = pool(5, 0);
+    let mut now = TimeMs(10_000);
+    send(&pool, &mut now, 100, |_| 20);
+    let slow = pool.candidates()[0].clone();
+    for candidate in pool.candidates() {
+        candidate.on_sent(now, 16);
+        candidate.on_first_token(now, 20);
+        (0..10).for_each(|_| candidate.on_token_gap(now, 10));
+    }
+
+    now = now + 40;
+    for candidate in &pool.candidates()[1..] {
+        candidate.on_token_gap(now, 10);
+    }
+    let sent = send(&pool, &mut now, 20, |_| 20);
+
+    assert_eq!(sent.get(slow.member.instance.as_str()), None);
+}
+
 #[test]
 fn own_sends_count_before_a_late_report_says_so() {
     let pool = pool(2, 0);
--- a/xtask/src/measure/mod.rs
+++ b/xtask/src/measure/mod.rs
@@ -1,7 +1,7 @@
 //! Measurements of the release build on this machine, each under a minute.
 //!
 //! To add one: a module with `run(programs) -> Result<Value, MeasureError>`, a
-//! variant of [`Measurement`], and its line in [`Measurement::run`].
+//! variant of [`Measurement`], and its line in `Measurement::run`.
 
 pub mod capacity;
 pub mod fit;
