--- a/crates/limpetgw/tests/config_suite/config.rs
+++ b/crates/limpetgw/tests/config_suite/config.rs
@@ -167,6 +167,31 @@
 /// the others learn from it, without any request, in time.
 #[test]
 fn a_change_spreads_from_one_process_while_the_store_is_down() -> Checked {
+    smol::block_on(async {
+        let mut fleet = Fleet::start(plan()).await?;
+        let others = ["entry-0", "entry-1", "agent-1"];
+        for name in others {
+            fleet.freeze(name)?;
+        }
+        // Their watches are answered now, by a refusal.
+        fleet.set_faults("platform", r#"{"down": true}"#).await?;
+        fleet.set_faults("platform", "{}").await?;
+        fleet.submit(document(66)).await?;
+        wait_in_force(&fleet, &["agent-0"], 2, IN_FORCE_LIMIT).await?;
+        fleet.process_mut("platform")?.kill()?;
+        for name in others {
+            fleet.thaw(name)?;
+        }
+
+        wait_in_force(&fleet, &ALL, 2, IN_FORCE_LIMIT).await?;
+        Ok(())
+    })
+}
+
+/// Watches bring the new head, but the store hangs when the shards are read:
+/// the processes get them from the one that has them.
+#[test]
+fn a_change_spreads_from_one_process_while_the_store_hangs() -> Checked {
     smol::block_on(async {
         let mut fleet = Fleet::start(plan()).await?;
         let others = ["entry-0", "entry-1", "agent-1"];
@@ -175,8 +200,8 @@
         }
         fleet.submit(document(66)).await?;
         wait_in_force(&fleet, &["agent-0"], 2, IN_FORCE_LIMIT).await?;
-        let restarted = fleet.process_mut("platform")?;
-        restarted.kill()?;
+        let hangs = r#"{"slow_ms": 60000, "only_kind": "config-shard"}"#;
+        fleet.set_faults("platform", hangs).await?;
         for name in others {
             fleet.thaw(name)?;
         }
