Listen with room for a surge of connections

Cause: 200 streams opened at once ended in a refusal after 588 ms: the standard library's listener lets 128 connections wait, the kernel drops the rest, and the caller's kernel tries again only after a second. Both daemons' connectors and listeners move to one crate; the entry uses it now.

--- a/crates/entry/src/attempt/mod.rs
+++ b/crates/entry/src/attempt/mod.rs
@@ -1,7 +1,6 @@
 //! One request's attempts: choose, dispatch, and try elsewhere where that is safe.
 
 mod answer;
-mod connector;
 mod recall;
 mod sending;
 mod session;
--- a/crates/entry/src/attempt/transport.rs
+++ b/crates/entry/src/attempt/transport.rs
@@ -1,14 +1,16 @@
 //! Sends one dispatch to an agent and tells what came back.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
+use net::{ConnectFailed, MarkingConnector};
 use rpc::{DispatchMeta, DispatchReply, PeerSecrets, DISPATCH_HEADER, DISPATCH_PATH, PEER_HEADER};
 use trillium_client::{Client, Conn};
 use types::{ErrorBody, ErrorCode, Verdict};
 
-use super::connector::{ConnectFailed, MarkingConnector};
 use crate::failure::Failure;
 
+/// Longest wait for a TCP connection to an agent.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest error body read from an agent, in bytes.
 const ERROR_BODY_MAX_BYTES: u64 = 64 << 10;
 
@@ -31,7 +33,7 @@
 impl Transport {
     pub(crate) fn new(secrets: Arc<PeerSecrets>) -> Self {
         Self {
-            http: Client::new(MarkingConnector::new()),
+            http: Client::new(MarkingConnector::new(CONNECT_TIMEOUT)),
             secrets,
         }
     }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -124,14 +124,10 @@
 }
 
 fn bind(addr: SocketAddr) -> Result<(TcpListener, SocketAddr), RunError> {
-    let error = |error: std::io::Error| RunError::Listen {
+    net::listen(addr).map_err(|error| RunError::Listen {
         addr: addr.to_string(),
         reason: error.to_string(),
-    };
-    let socket = std::net::TcpListener::bind(addr).map_err(error)?;
-    let bound = socket.local_addr().map_err(error)?;
-    let socket = TcpListener::try_from(socket).map_err(error)?;
-    Ok((socket, bound))
+    })
 }
 
 fn spawn(socket: TcpListener, guard: HeadGuard, handler: impl Handler) -> ServerHandle {
--- a/crates/entry/src/attempt/connector.rs
+++ b/crates/net/src/connector.rs
@@ -1,22 +1,19 @@
 //! A TCP connector whose errors tell a failed connect from a broken exchange.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{future::Future, io, net::SocketAddr, time::Duration};
 
 use futures_lite::FutureExt;
 use trillium_server_common::{Connector, Destination, Url};
 use trillium_smol::{async_net::TcpStream, ClientConfig, SmolRuntime, SmolTransport};
 
-/// Longest wait for a TCP connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// No connection was made: the peer has not seen a byte of the request.
 #[derive(Debug, thiserror::Error)]
 #[error("no connection: {0}")]
-pub(crate) struct ConnectFailed(String);
+pub struct ConnectFailed(io::Error);
 
 impl ConnectFailed {
     /// Whether an error of a client call proves that nothing was sent.
-    pub(crate) fn caused(error: &trillium_http::Error) -> bool {
+    pub fn caused(error: &trillium_http::Error) -> bool {
         let trillium_http::Error::Io(error) = error else {
             return false;
         };
@@ -26,22 +23,29 @@
     }
 }
 
-/// Connects with a timeout and marks errors as [`ConnectFailed`].
+/// Connects with a timeout; every error is a [`ConnectFailed`].
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct MarkingConnector(ClientConfig);
+pub struct MarkingConnector {
+    inner: ClientConfig,
+    timeout: Duration,
+}
 
 impl MarkingConnector {
-    pub(crate) fn new() -> Self {
-        Self(ClientConfig::default().with_nodelay(true))
+    /// Makes a connector that waits for a connection at most `timeout`.
+    pub fn new(timeout: Duration) -> Self {
+        Self {
+            inner: ClientConfig::default().with_nodelay(true),
+            timeout,
+        }
     }
 
-    async fn marked<T>(connect: impl std::future::Future<Output = io::Result<T>>) -> io::Result<T> {
+    async fn marked<T>(&self, connect: impl Future<Output = io::Result<T>>) -> io::Result<T> {
         let late = async {
-            smol::Timer::after(CONNECT_TIMEOUT).await;
+            smol::Timer::after(self.timeout).await;
             Err(io::Error::from(io::ErrorKind::TimedOut))
         };
         let connected = connect.or(late).await;
-        connected.map_err(|error| io::Error::other(ConnectFailed(error.to_string())))
+        connected.map_err(|error| io::Error::new(error.kind(), ConnectFailed(error)))
     }
 }
 
@@ -51,18 +55,18 @@
     type Udp = <ClientConfig as Connector>::Udp;
 
     fn runtime(&self) -> Self::Runtime {
-        self.0.runtime()
+        self.inner.runtime()
     }
 
     async fn connect(&self, url: &Url) -> io::Result<Self::Transport> {
-        Self::marked(self.0.connect(url)).await
+        self.marked(self.inner.connect(url)).await
     }
 
     async fn connect_to(&self, destination: Destination) -> io::Result<Self::Transport> {
-        Self::marked(self.0.connect_to(destination)).await
+        self.marked(self.inner.connect_to(destination)).await
     }
 
     async fn resolve(&self, host: &str, port: u16) -> io::Result<Vec<SocketAddr>> {
-        self.0.resolve(host, port).await
+        self.inner.resolve(host, port).await
     }
 }
