--- a/crates/shared-state/src/state.rs
+++ b/crates/shared-state/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
         Arc, Mutex, MutexGuard,
     },
     time::Instant,
@@ -49,9 +49,11 @@
     /// `None` while the platform answers.
     list_unconfirmed_since: Mutex<Option<Instant>>,
     store_answers: AtomicBool,
+    /// Generation that is being fetched from the store; 0 if none is.
+    fetching: AtomicU64,
     hints: Sender<Hint>,
-    /// Holds a token after the generation has risen.
-    rises: (Sender<()>, Receiver<()>),
+    /// Holds a token when generations are to be compared with several peers.
+    comparison_due: (Sender<()>, Receiver<()>),
 }
 
 impl SharedState {
@@ -86,8 +88,9 @@
             tracker: Mutex::default(),
             list_unconfirmed_since: Mutex::new(None),
             store_answers: AtomicBool::new(true),
+            fetching: AtomicU64::new(0),
             hints,
-            rises: smol::channel::bounded(1),
+            comparison_due: smol::channel::bounded(1),
         }
     }
 
@@ -202,8 +205,7 @@
         metrics::gauge!("limpetgw_config_generation").set(applied.generation().0 as f64);
         self.snapshot.store(applied.snapshot.clone());
         self.applied.store(Arc::new(applied));
-        // A token that is there already tells the same.
-        let _ = self.rises.0.try_send(());
+        self.ask_peers_soon();
         Ok(true)
     }
 
@@ -243,9 +245,16 @@
         }
     }
 
-    /// Receives a token after each rise of the generation.
-    pub(crate) fn rises(&self) -> Receiver<()> {
-        self.rises.1.clone()
+    /// Receives a token when generations are to be compared with several
+    /// peers at once: after a rise, and after a known rise could not be fetched.
+    pub(crate) fn comparisons_due(&self) -> Receiver<()> {
+        self.comparison_due.1.clone()
+    }
+
+    /// Lets the generation be compared with several peers at once.
+    pub(crate) fn ask_peers_soon(&self) {
+        // A token that is there already tells the same.
+        let _ = self.comparison_due.0.try_send(());
     }
 
     /// Whether the last call to the store was answered.
@@ -259,6 +268,16 @@
         }
     }
 
+    /// Notes which generation is being fetched from the store.
+    pub(crate) fn note_fetching(&self, generation: Generation) {
+        self.fetching.store(generation.0, Ordering::Relaxed);
+    }
+
+    /// Whether a generation, or a higher one, is being fetched from the store.
+    pub(crate) fn is_fetching(&self, generation: Generation) -> bool {
+        self.fetching.load(Ordering::Relaxed) >= generation.0
+    }
+
     fn publish(&self, tracker: &MembershipTracker) {
         let view = tracker.view();
         telemetry::emit(&StateEvent::MembershipChanged {
