Agent: tokens checked before a fault still reach the entry

Cause: events checked in the same read as a fault were dropped with it, and the HTTP server drops what it has buffered when a body fails. The events are now passed on first, and the body waits once before it fails. Tokens lost at a fault had to be generated again elsewhere. Seen red without either half.

--- a/crates/agent/src/relay/completion.rs
+++ b/crates/agent/src/relay/completion.rs
@@ -262,8 +262,11 @@
 
     async fn end_failed(self, request: Request<Started>, fault: &Fault) {
         self.agent.on_fault(&request, fault).await;
-        if let Sink::Waiting(entry) = self.sink {
-            entry.refuse(fault.refusal());
+        match self.sink {
+            Sink::Waiting(entry) => entry.refuse(fault.refusal()),
+            // What was checked before the fault is the caller's own.
+            Sink::Open(mut pipe) => drop(poll_once(pipe.write(&self.checked)).await),
+            Sink::Gone => {}
         }
         if !matches!(fault, Fault::Unreachable(_) | Fault::Unsendable(_)) {
             self.agent.upstream.cancel(request.id()).await;
--- a/crates/agent/src/relay/pipe.rs
+++ b/crates/agent/src/relay/pipe.rs
@@ -36,6 +36,8 @@
     buffer: Vec<u8>,
     read_from: usize,
     writing: Writing,
+    /// Whether the reader was asked to wait once before the error.
+    has_warned: bool,
     is_reader_gone: bool,
     reader: Option<Waker>,
     writer: Option<Waker>,
@@ -76,6 +78,7 @@
         buffer: Vec::new(),
         read_from: 0,
         writing: Writing::Open,
+        has_warned: false,
         is_reader_gone: false,
         reader: None,
         writer: None,
@@ -169,6 +172,13 @@
         if waiting.is_empty() {
             return match shared.writing {
                 Writing::Finished => Poll::Ready(Ok(0)),
+                // The HTTP server sends what it has buffered when the body
+                // waits, and drops it when the body fails.
+                Writing::Broken if !shared.has_warned => {
+                    shared.has_warned = true;
+                    cx.waker().wake_by_ref();
+                    Poll::Pending
+                }
                 Writing::Broken => Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into())),
                 Writing::Open => {
                     shared.reader = Some(cx.waker().clone());
--- a/crates/agent/tests/faults.rs
+++ b/crates/agent/tests/faults.rs
@@ -240,3 +240,22 @@
         (true, vec![0, 1])
     );
 }
+
+#[test]
+fn tokens_before_a_fault_reach_the_entry() {
+    smol::block_on(async {
+        let (engine, agent) = engine_and_agent(4).await;
+        let entry = Entry::of(&agent);
+        let head = entry.begin_head(completion("r-1"));
+        let mut arrived = engine.next().await;
+        arrived.begin().tokens(3);
+        let reading = Reading::of(head.await).until_token(3).await;
+
+        let events = [3, 4, 6].map(|index| support::token_event("r-1", index));
+        arrived.bytes(events.concat()).end();
+        let answer = reading.until_end().await;
+
+        assert!(!answer.is_whole);
+        assert_eq!(answer.token_indices(), [0, 1, 2, 3, 4]);
+    });
+}
