--- a/crates/agent/tests/poison.rs
+++ b/crates/agent/tests/poison.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use platform::Instance;
-use policy::quarantine::Evidence;
+use policy::quarantine::{Crash, Evidence};
 use support::{
     completion, document, listed, settings, start_with, until, Engine, Entry, Reading, Store,
 };
@@ -226,3 +226,41 @@
         drop(closing);
     });
 }
+
+#[test]
+fn evidence_that_comes_while_a_content_is_queued_keeps_it_from_starting_beside_others() {
+    smol::block_on(async {
+        let engine = Engine::start().await;
+        let document = document(config::UpstreamKind::Engine, 1);
+        let agent = start_with(settings(&engine.addr), document, Vec::new(), Store::new()).await;
+        let entry = Entry::of(&agent);
+        let running = entry.begin(content("other", "o-1"));
+        let mut first = engine.next().await;
+        let queued = entry.begin(content(POISON, "p-1"));
+        entry.until_load(1, 1).await;
+
+        let crash = Crash {
+            instance: "a-9".into(),
+            sequence: 1,
+            alone: false,
+        };
+        let heard = Evidence {
+            fingerprint: Fingerprint::of("m", POISON.as_bytes()),
+            crashes: vec![crash],
+            cleared: false,
+            age_ms: 0,
+        };
+        entry.tell_evidence(vec![heard]).await;
+        first.answer(1);
+        let refused = queued.await;
+
+        assert!(running.await.is_whole);
+        let error = refused.error().error;
+        assert_eq!(
+            (error.code, error.verdict),
+            (ErrorCode::NoUpstream, Verdict::NotRun)
+        );
+        assert!(engine.is_quiet().await);
+        entry.until_load(0, 0).await;
+    });
+}
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -295,8 +295,12 @@
 
     /// What the agent knows about crashes.
     pub async fn evidence(&self) -> Vec<Evidence> {
+        self.tell_evidence(Vec::new()).await
+    }
+
+    /// Tells the agent about crashes; what it knows then.
+    pub async fn tell_evidence(&self, params: Vec<Evidence>) -> Vec<Evidence> {
         let calls = self.calls();
-        let params = Vec::new();
         let exchange = calls.call::<rpc::methods::ExchangeEvidence>(
             &self.addr,
             Generation(7),
