Keep the hanging fake answer's task alive

Cause: a_stream_past_its_deadline_ends_visibly_broken failed in 1 of 4 runs under load: the fake's body waited on nothing, the executor freed its task and closed the connection, and the entry told upstream_failed before the deadline. Ruled out: a clean end (the assertion on it held).

--- a/crates/entry/tests/support/agent.rs
+++ b/crates/entry/tests/support/agent.rs
@@ -410,8 +410,9 @@
                     return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
                 }
                 Some(Piece::Hang) => {
+                    // A timer keeps the task alive, as in `forever`.
                     self.left.push_front(Piece::Hang);
-                    return Poll::Pending;
+                    self.wait = Some(smol::Timer::after(Duration::from_secs(3_600)));
                 }
             }
         }
