--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -84,7 +84,7 @@
     store: Arc<dyn ObjectStore>,
 ) -> Result<Running, RunError> {
     let agent = Arc::new(agent::Agent::new(settings, shared, store));
-    let (addr, server) = server::start(agent.clone()).await?;
+    let (addr, server) = server::start(agent.clone())?;
     Ok(Running::new(agent, addr, server))
 }
 
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -9,15 +9,12 @@
 use crate::{agent::Agent, calls, dispatch, RunError};
 
 /// Binds the listener and starts to serve; returns the bound address.
-pub(crate) async fn start(agent: Arc<Agent>) -> Result<(SocketAddr, Swansong), RunError> {
+pub(crate) fn start(agent: Arc<Agent>) -> Result<(SocketAddr, Swansong), RunError> {
     let listen_error = |reason: std::io::Error| RunError::Listen {
         addr: agent.settings.listen.to_string(),
         reason: reason.to_string(),
     };
-    let listener = smol::net::TcpListener::bind(agent.settings.listen)
-        .await
-        .map_err(listen_error)?;
-    let addr = listener.local_addr().map_err(listen_error)?;
+    let (listener, addr) = net::listen(agent.settings.listen).map_err(listen_error)?;
     let handle = trillium_smol::config()
         .without_signals()
         .with_nodelay()
--- a/crates/agent/src/upstream/answer.rs
+++ b/crates/agent/src/upstream/answer.rs
@@ -1,10 +1,11 @@
 //! The upstream's answer to one request, on its own connection.
 
 use futures_lite::AsyncReadExt;
+use net::ConnectFailed;
 use trillium_client::{Conn, KnownHeaderName};
 use types::RequestId;
 
-use super::{connector::is_connect_failure, Fault, REQUEST_ID_HEADER};
+use super::{Fault, REQUEST_ID_HEADER};
 use crate::relay::Mismatch;
 
 /// An answer whose head was read and checked.
@@ -27,7 +28,7 @@
             is_released: false,
         };
         if let Err(error) = (&mut answer.conn).await {
-            return Err(match is_connect_failure(&error) {
+            return Err(match ConnectFailed::caused(&error) {
                 true => Fault::Unreachable(error.to_string()),
                 false => Fault::Broken(error.to_string()),
             });
--- a/crates/agent/src/upstream/mod.rs
+++ b/crates/agent/src/upstream/mod.rs
@@ -1,10 +1,10 @@
 //! The connection to the one upstream instance.
 
 mod answer;
-mod connector;
 mod engine;
 mod fault;
 mod orders;
+mod probe;
 mod service;
 
 pub(crate) use answer::Answer;
@@ -22,12 +22,11 @@
 };
 
 use futures_lite::FutureExt;
+use net::MarkingConnector;
 use rpc::Target;
 use trillium_client::{Client, Conn, Method};
 use types::RequestId;
 
-use connector::UpstreamConnector;
-
 /// Header that identifies a request to and from the upstream.
 pub(crate) const REQUEST_ID_HEADER: &str = "x-request-id";
 
@@ -42,7 +41,6 @@
 #[derive(Debug)]
 pub(crate) struct Upstream {
     http: Client,
-    connector: UpstreamConnector,
     addr: Arc<str>,
     is_reachable: AtomicBool,
 }
@@ -50,11 +48,10 @@
 impl Upstream {
     /// Makes a client of the instance at `addr` (`IP:port`).
     pub(crate) fn new(addr: Arc<str>) -> Self {
-        let connector = UpstreamConnector::new();
+        let connector = MarkingConnector::new(probe::CONNECT_TIMEOUT);
         let http = Client::new(connector).with_max_buffered_request_body(SENT_AT_ONCE_MAX_BYTES);
         Self {
             http,
-            connector,
             addr,
             is_reachable: AtomicBool::new(true),
         }
@@ -67,7 +64,7 @@
 
     /// Whether the instance takes a connection and keeps it.
     pub(crate) async fn probe(&self) -> bool {
-        let is_reachable = self.connector.probe(&self.addr).await;
+        let is_reachable = probe::probe(&self.addr).await;
         self.is_reachable.store(is_reachable, Ordering::Relaxed);
         is_reachable
     }
