Tell a displaced request at once

Ruled out: the retry's pause (28 ms in all at most) and connects (backlog).

Tests: a_displaced_request_is_told_at_once, red with the retry put back. The case `displaced` of a_refusal_goes_elsewhere is gone, since it demands the retry; it stayed green either way, for the prompt's prefix led all requests to the instance that takes them. The test now leads them to the refusing instance first and demands that it was asked.

--- a/crates/entry/src/attempt/session.rs
+++ b/crates/entry/src/attempt/session.rs
@@ -469,7 +469,6 @@
     matches!(
         code,
         ErrorCode::QueueFull
-            | ErrorCode::Displaced
             | ErrorCode::PeerRefused
             | ErrorCode::Draining
             | ErrorCode::NoUpstream
--- a/crates/entry/tests/attempts.rs
+++ b/crates/entry/tests/attempts.rs
@@ -26,12 +26,12 @@
 #[rstest]
 #[case::queue_full(ErrorCode::QueueFull)]
 #[case::draining(ErrorCode::Draining)]
-#[case::displaced(ErrorCode::Displaced)]
 fn a_refusal_goes_elsewhere(#[case] code: ErrorCode) {
     run(async {
-        let refusing = FakeAgent::start("a-1", vec![Reaction::Refuse(code, Verdict::NotRun); 9]);
+        // The prompt's prefix leads to the instance a-2 first.
+        let refusing = FakeAgent::start("a-2", vec![Reaction::Refuse(code, Verdict::NotRun); 9]);
         let refusing = refusing.await;
-        let taking = FakeAgent::start("a-2", vec![]).await;
+        let taking = FakeAgent::start("a-1", vec![]).await;
         let instances = vec![refusing.instance("carving"), taking.instance("carving")];
         let bench = bench(instances).await;
 
@@ -40,6 +40,7 @@
 
             assert_eq!((status, clean), (200, true), "{text}");
         }
+        assert!(!refusing.dispatches().is_empty(), "it was never asked");
         assert_eq!(taking.dispatches().len(), 8);
     });
 }
@@ -122,6 +123,28 @@
     });
 }
 
+/// Its place went to a higher class at the crest: elsewhere it would wait and
+/// be displaced again, and be told later.
+#[rstest]
+fn a_displaced_request_is_told_at_once() {
+    run(async {
+        let displaced = Reaction::Refuse(ErrorCode::Displaced, Verdict::NotRun);
+        let agents = [
+            FakeAgent::start("a-1", vec![displaced.clone(); 9]).await,
+            FakeAgent::start("a-2", vec![displaced; 9]).await,
+        ];
+        let instances = agents.iter().map(|one| one.instance("carving")).collect();
+        let bench = bench(instances).await;
+
+        let (status, body) = answered(bench.chat(false)).await;
+
+        assert_eq!(status, 429, "{body}");
+        assert_eq!(error_of(&body).0, "displaced");
+        assert_eq!(error_of(&body).1, "not_run");
+        assert_eq!(dispatches(&agents).len(), 1);
+    });
+}
+
 #[rstest]
 fn retries_stay_within_the_budget_when_all_fail() {
     run(async {
