Start a test fleet only when its agents take work

Cause: a_service_s_wrong_answer_never_looks_right::case_3_lost failed once of many runs with not_configured: the harness waited for entries and engines, and the service's agent had no configuration yet. Ruled out: the verdict, which was true.

--- a/crates/harness/src/fleet/look.rs
+++ b/crates/harness/src/fleet/look.rs
@@ -10,10 +10,10 @@
 };
 use trillium_client::Method;
 
-use super::{Fleet, Kind};
+use super::{Fleet, Kind, Member};
 use crate::{
     http::{call, call_json},
-    HarnessError,
+    HarnessError, Process,
 };
 
 /// Pause between two looks at something awaited.
@@ -37,6 +37,42 @@
         Ok(())
     }
 
+    /// Waits until every agent takes work; for a fleet in which all run.
+    pub(super) async fn wait_agents_ready(&self, limit: Duration) -> Result<(), HarnessError> {
+        let deadline = Instant::now() + limit;
+        let is_agent = |member: &&Member| matches!(member.kind, Kind::Agent { .. });
+        for agent in self.members.values().filter(is_agent) {
+            self.wait_agent_ready(&agent.process, deadline, limit)
+                .await?;
+        }
+        Ok(())
+    }
+
+    /// An agent that has no configuration yet refuses all work.
+    async fn wait_agent_ready(
+        &self,
+        agent: &Process,
+        deadline: Instant,
+        limit: Duration,
+    ) -> Result<(), HarnessError> {
+        let url = format!("http://{}/readyz", agent.internal_addr());
+        loop {
+            let seen = match call(&self.http, Method::Get, &url, None).await {
+                Ok(answer) if answer.status == 200 => return Ok(()),
+                Ok(answer) => format!("status {}", answer.status),
+                Err(error) => error.to_string(),
+            };
+            if Instant::now() >= deadline {
+                return Err(HarnessError::TooLate {
+                    what: format!("{} ready", agent.name()),
+                    limit_ms: limit.as_millis(),
+                    seen,
+                });
+            }
+            smol::Timer::after(POLL_PAUSE).await;
+        }
+    }
+
     async fn wait_entry_ready(
         &self,
         index: usize,
--- a/crates/harness/src/fleet/start.rs
+++ b/crates/harness/src/fleet/start.rs
@@ -19,6 +19,7 @@
     pub async fn start(plan: FleetPlan) -> Result<Self, HarnessError> {
         let fleet = Self::start_unready(plan).await?;
         if fleet.plan.is_configured {
+            fleet.wait_agents_ready(fleet.plan.ready_limit).await?;
             fleet.wait_ready(fleet.plan.ready_limit).await?;
         }
         Ok(fleet)
