--- a/crates/agent/src/gate/mod.rs
+++ b/crates/agent/src/gate/mod.rs
@@ -105,7 +105,6 @@
 
     /// Takes back a request that has not started; with `cancel`, stops one
     /// that has.
-    ///
     pub(crate) fn recall(&self, request_id: &RequestId, cancel: bool) -> Recall {
         let now = self.clock.now();
         let mut inner = self.lock();
