--- a/crates/harness/src/fleet/control.rs
+++ b/crates/harness/src/fleet/control.rs
@@ -34,7 +34,7 @@
     }
 
     /// Asks a process to shut down gracefully (SIGTERM). Wait for its end
-    /// with [`Process::wait_exit`].
+    /// with [`crate::Process::wait_exit`].
     ///
     /// # Errors
     ///
