Name the client of the platform's object API after what it is

The crate crates/platform becomes crates/store, since the adapter to the users' platform takes a folder of that name at the root.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -12,13 +12,13 @@
     clock::Clock, gate::Gate, meters::Meters, notify::Notify, settings::Settings,
     upstream::Upstream,
 };
-use platform::ObjectStore;
 use policy::{
     quarantine::SuspectMemory,
     schedule::{ClassRules, LoadReport, Settings as ScheduleSettings},
 };
 use rpc::DispatchReply;
 use shared_state::SharedState;
+use store::ObjectStore;
 use telemetry::events::AgentEvent;
 
 /// The state of one agent.
--- a/crates/agent/src/evidence/keep.rs
+++ b/crates/agent/src/evidence/keep.rs
@@ -7,10 +7,10 @@
 };
 
 use futures_lite::FutureExt;
-use platform::{Condition, Key};
 use policy::quarantine::Evidence;
 use serde::{Deserialize, Serialize};
 use smol::Timer;
+use store::{Condition, Key};
 
 use crate::agent::Agent;
 
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -26,8 +26,8 @@
 
 use std::sync::Arc;
 
-use platform::ObjectStore;
 use shared_state::SharedState;
+use store::ObjectStore;
 use telemetry::events::AgentEvent;
 
 /// The agent could not run.
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -12,8 +12,8 @@
     ReadResult, WriteResult,
 };
 use futures_lite::FutureExt;
-use platform::{Condition, Key, StoreError};
 use smol::Timer;
+use store::{Condition, Key, StoreError};
 use telemetry::events::AgentEvent;
 use types::{Generation, TimeMs};
 
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -2,9 +2,9 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use platform::HttpPlatform;
 use policy::schedule::Discipline;
 use rpc::PeerSecrets;
+use store::HttpPlatform;
 use types::{InstanceId, UpstreamName, ZoneName};
 
 /// Settings of one agent.
--- a/crates/agent/tests/orders.rs
+++ b/crates/agent/tests/orders.rs
@@ -4,9 +4,9 @@
 
 use std::{sync::Arc, time::Duration, time::Instant};
 
-use platform::{Condition, Key, ObjectStore};
 use rstest::rstest;
 use serde_json::{json, Value};
+use store::{Condition, Key, ObjectStore};
 use support::{document, settings, start_with, Arrived, Engine, Store};
 
 const LEASE_KIND: &str = "order-lease";
--- a/crates/agent/tests/poison.rs
+++ b/crates/agent/tests/poison.rs
@@ -5,8 +5,8 @@
 
 use std::sync::Arc;
 
-use platform::Instance;
 use policy::quarantine::{Crash, Evidence};
+use store::Instance;
 use support::{
     completion, document, listed, settings, start_with, until, Engine, Entry, Reading, Store,
 };
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -12,9 +12,9 @@
 
 use std::{sync::Arc, time::Duration};
 
+use ::store::{HttpPlatform, Instance, InstanceState, Role};
 use config::{Class, Document, Snapshot, Team, Upstream, UpstreamKind};
 use futures_lite::FutureExt;
-use platform::{HttpPlatform, Instance, InstanceState, Role};
 use policy::quarantine::Evidence;
 use rpc::{DispatchMeta, DispatchReply, PeerSecrets, Target};
 use serde_json::{json, Value};
--- a/crates/agent/tests/support/store.rs
+++ b/crates/agent/tests/support/store.rs
@@ -6,8 +6,8 @@
 };
 
 use indexmap::IndexMap;
-use platform::{BoxFuture, Condition, Key, Listed, Object, ObjectStore, StoreError};
 use serde_json::Value;
+use store::{BoxFuture, Condition, Key, Listed, Object, ObjectStore, StoreError};
 
 /// Objects in memory; refuses every call while it is down.
 #[derive(Default)]
--- a/crates/console/src/fleet.rs
+++ b/crates/console/src/fleet.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use futures_lite::StreamExt;
-use platform::{Instance, InstanceState, Role};
 use rpc::methods::{Drain, GetMembership, GetStatus, Status};
 use serde::{Deserialize, Serialize};
+use store::{Instance, InstanceState, Role};
 use types::{Generation, InstanceId, UpstreamName, ZoneName};
 
 use crate::{Operator, OperatorError};
--- a/crates/console/src/operator.rs
+++ b/crates/console/src/operator.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use config::{Document, Invalid};
-use platform::{InstanceSource, ObjectStore, StoreError};
 use shared_state::{ReadError, SubmitError};
+use store::{InstanceSource, ObjectStore, StoreError};
 
 use crate::answers::SourceError;
 
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -6,9 +6,9 @@
 };
 
 use indexmap::{IndexMap, IndexSet};
-use platform::ObjectStore;
 use policy::{admission::Gate, quarantine::SuspectMemory, retry::RetryBudget};
 use shared_state::SharedState;
+use store::ObjectStore;
 use types::{ClassName, RequestId, TimeMs};
 
 use crate::{attempt::Transport, lifecycle::Lifecycle, meters::Meters, pools::Pools, Settings};
--- a/crates/entry/src/once/key.rs
+++ b/crates/entry/src/once/key.rs
@@ -1,7 +1,7 @@
 //! The idempotency key of a request, and the claim object that goes with it.
 
 use coord::claim::{claim_name, ClaimRecord, CLAIM_KIND};
-use platform::Key;
+use store::Key;
 use trillium::Conn;
 use types::ErrorCode;
 
--- a/crates/entry/src/once/run.rs
+++ b/crates/entry/src/once/run.rs
@@ -6,7 +6,7 @@
 };
 
 use coord::claim::{Outcome, KEPT_ANSWER_MAX_BYTES};
-use platform::ObjectStore;
+use store::ObjectStore;
 use telemetry::{emit, events::EntryEvent};
 use types::{ErrorCode, Verdict};
 
--- a/crates/entry/src/once/steps.rs
+++ b/crates/entry/src/once/steps.rs
@@ -7,7 +7,7 @@
     ReadResult, WriteResult,
 };
 use futures_lite::FutureExt;
-use platform::{Condition, Key, ObjectStore, StoreError};
+use store::{Condition, Key, ObjectStore, StoreError};
 use types::{ErrorCode, Verdict};
 
 use super::Claimant;
--- a/crates/entry/src/once/sweep.rs
+++ b/crates/entry/src/once/sweep.rs
@@ -6,7 +6,7 @@
 };
 
 use coord::{claim::CLAIM_KIND, ReadResult};
-use platform::{Condition, Key, Listed, ObjectStore};
+use store::{Condition, Key, Listed, ObjectStore};
 
 use super::steps::read;
 use crate::{app::App, unix_time::unix_ms};
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -2,9 +2,9 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use platform::ObjectStore;
 use serde_json::json;
 use shared_state::SharedState;
+use store::ObjectStore;
 use telemetry::{emit, events::EntryEvent};
 use trillium::{Conn, Handler, HttpConfig};
 use trillium_server_common::ServerHandle;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -2,9 +2,9 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use platform::HttpPlatform;
 use policy::choice::Rule;
 use rpc::PeerSecrets;
+use store::HttpPlatform;
 use types::{InstanceId, ZoneName};
 
 /// Settings of one entry.
--- a/crates/entry/tests/once.rs
+++ b/crates/entry/tests/once.rs
@@ -8,11 +8,11 @@
 };
 
 use coord::claim::{claim_name, ClaimRecord, CLAIM_KIND};
-use platform::{Condition, Key, ObjectStore};
 use rstest::rstest;
 use serde_json::Value;
 use shared_state::SharedState;
 use smol::{io::AsyncWriteExt, net::TcpStream, Timer};
+use store::{Condition, Key, ObjectStore};
 use support::{
     agent, answered, bench_of, chat_body, document, error_of, run, streamed, Bench, FakeAgent,
     FakeStore, Piece, Reaction, API_KEY, OTHER_KEY,
--- a/crates/entry/tests/support/agent.rs
+++ b/crates/entry/tests/support/agent.rs
@@ -126,7 +126,7 @@
         }
     }
 
-    pub fn instance(&self, upstream: &str) -> platform::Instance {
+    pub fn instance(&self, upstream: &str) -> store::Instance {
         super::instance(&self.name, upstream, &self.addr)
     }
 
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -7,9 +7,9 @@
 
 use std::{sync::Arc, time::Duration};
 
+use ::store::{HttpPlatform, Instance, InstanceState, Role};
 use config::{Class, Document, Snapshot, Team, Upstream, UpstreamKind};
 use entry::{Parts, Running, Settings};
-use platform::{HttpPlatform, Instance, InstanceState, Role};
 use rpc::PeerSecrets;
 use serde_json::{json, Value};
 use shared_state::SharedState;
--- a/crates/entry/tests/support/store.rs
+++ b/crates/entry/tests/support/store.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use platform::{BoxFuture, Condition, Key, Listed, Object, ObjectStore, StoreError};
+use store::{BoxFuture, Condition, Key, Listed, Object, ObjectStore, StoreError};
 
 #[derive(Default)]
 pub struct FakeStore {
--- a/crates/harness/src/fleet/listing.rs
+++ b/crates/harness/src/fleet/listing.rs
@@ -3,9 +3,9 @@
 use std::time::SystemTime;
 
 use config::Document;
-use platform::{HttpPlatform, Instance};
 use serde_json::{json, Value};
 use shared_state::{SessionId, Submission};
+use store::{HttpPlatform, Instance};
 use trillium_client::Method;
 use types::Generation;
 
--- a/crates/limpetgw/src/cli/common.rs
+++ b/crates/limpetgw/src/cli/common.rs
@@ -4,8 +4,8 @@
 
 use async_global_executor::GlobalExecutorConfig;
 use clap::{Args, ValueEnum};
-use platform::HttpPlatform;
 use rpc::PeerSecrets;
+use store::HttpPlatform;
 use types::{InstanceId, ZoneName};
 
 use super::CliError;
--- a/crates/rpc/src/methods.rs
+++ b/crates/rpc/src/methods.rs
@@ -1,8 +1,8 @@
 //! JSON-RPC methods of entries and agents.
 
-use platform::InstanceList;
 use policy::{quarantine::Evidence, schedule::LoadReport, schedule::Recall};
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
+use store::InstanceList;
 use types::{Generation, InstanceId, RequestId};
 
 /// A JSON-RPC method with its types.
--- a/crates/shared-state/src/config_store.rs
+++ b/crates/shared-state/src/config_store.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use config::{canonical_text, digest_of, Head, ObjectsError, ShardTexts};
-use platform::{Condition, Key, ObjectStore, StoreError};
+use store::{Condition, Key, ObjectStore, StoreError};
 
 /// Kind of the head object.
 pub const HEAD_KIND: &str = "config-head";
--- a/crates/shared-state/src/follow/config.rs
+++ b/crates/shared-state/src/follow/config.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use ::config::Head;
-use platform::StoreError;
+use store::StoreError;
 use telemetry::events::StateEvent;
 use types::Generation;
 
--- a/crates/shared-state/src/membership.rs
+++ b/crates/shared-state/src/membership.rs
@@ -4,8 +4,8 @@
 //! that said that it is leaving gets no new work, whatever the list shows.
 
 use indexmap::IndexMap;
-use platform::{Instance, InstanceList, InstanceState};
 use std::sync::Arc;
+use store::{Instance, InstanceList, InstanceState};
 use types::{InstanceId, UpstreamName};
 
 /// Answers with a lower version that are ignored in a row; one more means that
--- a/crates/shared-state/src/settings.rs
+++ b/crates/shared-state/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use platform::{InstanceSource, ObjectStore};
+use store::{InstanceSource, ObjectStore};
 use types::InstanceId;
 
 /// Where a process learns its shared state from.
--- a/crates/shared-state/src/state.rs
+++ b/crates/shared-state/src/state.rs
@@ -10,9 +10,9 @@
 
 use arc_swap::ArcSwap;
 use config::{Head, ObjectsError, ShardTexts, Snapshot};
-use platform::{Instance, InstanceList};
 use rpc::methods::{ConfigBundle, GetConfigParams, MembershipView};
 use smol::channel::{Receiver, Sender};
+use store::{Instance, InstanceList};
 use telemetry::events::StateEvent;
 use types::{Generation, InstanceId};
 
--- a/crates/shared-state/src/submit.rs
+++ b/crates/shared-state/src/submit.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use config::{to_objects, Document, Head, ObjectsError, SessionEntry};
-use platform::{Condition, ObjectStore, StoreError};
+use store::{Condition, ObjectStore, StoreError};
 use types::Generation;
 
 use crate::{
--- a/crates/shared-state/tests/suite/fixtures.rs
+++ b/crates/shared-state/tests/suite/fixtures.rs
@@ -1,9 +1,9 @@
 //! Fixtures: documents, heads and chains of configurations.
 
 use config::{to_objects, Document, Head, SessionEntry, ShardTexts};
-use platform::{Instance, InstanceList, InstanceState, Role};
 use proptest::prelude::ProptestConfig;
 use serde_json::json;
+use store::{Instance, InstanceList, InstanceState, Role};
 use types::Generation;
 
 /// A valid document whose one class has this target.
--- a/crates/shared-state/tests/suite/flaky_store.rs
+++ b/crates/shared-state/tests/suite/flaky_store.rs
@@ -2,8 +2,8 @@
 
 use std::{collections::VecDeque, sync::Mutex, time::Duration};
 
-use platform::{BoxFuture, Condition, Key, Listed, Object, ObjectStore, StoreError};
 use serde_json::Value;
+use store::{BoxFuture, Condition, Key, Listed, Object, ObjectStore, StoreError};
 
 /// What happens to one call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/shared-state/tests/suite/membership.rs
+++ b/crates/shared-state/tests/suite/membership.rs
@@ -1,8 +1,8 @@
 //! Own evidence goes before the list, and the list never goes back.
 
-use platform::{Instance, InstanceState};
 use proptest::prelude::*;
 use shared_state::{MembershipTracker, SharedState};
+use store::{Instance, InstanceState};
 
 use crate::fixtures::{agent, list, proptest_config};
 
--- a/crates/platform/tests/suite/answers.rs
+++ b/crates/store/tests/suite/answers.rs
@@ -7,11 +7,9 @@
     time::Duration,
 };
 
-use platform::{
-    Condition, HttpPlatform, InstanceSource, Key, Object, ObjectStore, Rates, StoreError,
-};
 use rstest::rstest;
 use serde_json::json;
+use store::{Condition, HttpPlatform, InstanceSource, Key, Object, ObjectStore, Rates, StoreError};
 
 /// What the platform does with its one connection.
 #[derive(Clone, Debug)]
--- a/crates/platform/tests/suite/limits.rs
+++ b/crates/store/tests/suite/limits.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use platform::Bucket;
 use proptest::prelude::*;
+use store::Bucket;
 
 proptest! {
     #![proptest_config(ProptestConfig {
--- a/xtask/src/measure/capacity.rs
+++ b/xtask/src/measure/capacity.rs
@@ -10,8 +10,8 @@
 
 use config::{key_digest, Document, Team};
 use harness::{default_document, Fleet, FleetPlan, Programs};
-use platform::{Instance, InstanceState, Role};
 use serde_json::{json, Value};
+use store::{Instance, InstanceState, Role};
 use types::TeamName;
 
 use super::{fit::Line, MeasureError};
--- a/xtask/src/measure/config_spread.rs
+++ b/xtask/src/measure/config_spread.rs
@@ -9,9 +9,9 @@
 
 use config::Document;
 use harness::{default_document, Fleet, FleetPlan, Programs};
-use platform::HttpPlatform;
 use serde_json::{json, Value};
 use shared_state::{SessionId, Submission};
+use store::HttpPlatform;
 use types::Generation;
 
 use super::MeasureError;
