--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -6,12 +6,13 @@
 };
 
 use indexmap::{IndexMap, IndexSet};
+use net::Lifecycle;
 use policy::{admission::Gate, quarantine::SuspectMemory, retry::RetryBudget};
 use shared_state::SharedState;
 use store::ObjectStore;
 use types::{ClassName, RequestId, TimeMs};
 
-use crate::{attempt::Transport, lifecycle::Lifecycle, meters::Meters, pools::Pools, Settings};
+use crate::{attempt::Transport, meters::Meters, pools::Pools, Settings};
 
 /// The places of requests in this entry.
 pub(crate) struct Places {
--- a/crates/entry/src/attempt/session.rs
+++ b/crates/entry/src/attempt/session.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use futures_lite::FutureExt;
+use net::InFlight;
 use policy::{
     choice::Wanted,
     retry::{backoff_ms, may_hedge},
@@ -22,7 +23,6 @@
     evidence::exchange,
     failure::Failure,
     filters::{admit::Place, quarantine::check_quarantine},
-    lifecycle::InFlight,
     request::Request,
 };
 
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use net::InFlight;
 use rpc::Target;
 use telemetry::{emit, events::EntryEvent};
 use trillium::{Body, Conn, Status};
@@ -21,7 +22,6 @@
         quarantine::check_quarantine,
         read_body::read_body,
     },
-    lifecycle::InFlight,
     once::{idempotency_key, run_once, Claimant},
     request::Request,
     services::respond,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,8 +11,7 @@
 mod evidence;
 mod failure;
 mod filters;
-mod head_guard;
-mod lifecycle;
+mod guard;
 mod meters;
 mod models;
 mod once;
@@ -74,8 +73,18 @@
         peers,
     };
     let running = serve(settings, parts).await?;
-    lifecycle::drain_at_signal(&running)?;
+    drain_at_signals(&running)?;
     running.print_listening();
     running.finished().await;
     Ok(())
 }
+
+/// Drains the entry when the process gets SIGTERM or SIGINT.
+fn drain_at_signals(running: &Running) -> Result<(), RunError> {
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        let handle = running.drain_handle();
+        let watch = net::watch_signal(signal, move || handle.drain()).map_err(RunError::Signal)?;
+        async_global_executor::spawn(watch).detach();
+    }
+    Ok(())
+}
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use net::InFlight;
 use trillium::{Conn, Method, Status};
 use types::{ErrorCode, RequestId};
 
@@ -10,7 +11,6 @@
     chat::{self, refuse},
     failure::Failure,
     filters::request_id,
-    lifecycle::InFlight,
     models,
     services::{self, SERVICES_PREFIX},
 };
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
+use net::HeadGuard;
 use serde_json::json;
 use shared_state::SharedState;
 use store::ObjectStore;
@@ -11,7 +12,7 @@
 use trillium_smol::async_net::TcpListener;
 
 use crate::{
-    app::App, evidence::exchange_now_and_then, head_guard::HeadGuard, once::sweep_claims, operator,
+    app::App, evidence::exchange_now_and_then, guard::EntryGuard, once::sweep_claims, operator,
     routes, RunError, Settings,
 };
 
@@ -69,8 +70,10 @@
     let (operator_socket, operator_addr) = bind(settings.operator_listen)?;
     let app = Arc::new(App::new(settings, parts));
     let drain = DrainHandle { app: app.clone() };
-    let guard = HeadGuard::new(app.settings.request_timeout);
-    let callers = spawn(callers_socket, guard, callers_handler(app.clone()));
+    let guard = HeadGuard::new(Arc::new(EntryGuard {
+        request_timeout: app.settings.request_timeout,
+    }));
+    let callers = spawn(callers_socket, guard.clone(), callers_handler(app.clone()));
     let operator = spawn(
         operator_socket,
         guard,
@@ -130,7 +133,7 @@
     })
 }
 
-fn spawn(socket: TcpListener, guard: HeadGuard, handler: impl Handler) -> ServerHandle {
+fn spawn(socket: TcpListener, guard: HeadGuard<EntryGuard>, handler: impl Handler) -> ServerHandle {
     trillium_smol::config()
         .with_prebound_server(socket)
         .without_signals()
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use config::{Service, Snapshot};
+use net::InFlight;
 use rpc::Target;
 use telemetry::{emit, events::EntryEvent};
 use trillium::{Conn, Method, Status};
@@ -22,7 +23,6 @@
         quarantine::check_quarantine,
         read_body::read_body,
     },
-    lifecycle::InFlight,
     once::{idempotency_key, run_once, Claimant, IDEMPOTENCY_KEY_HEADER},
     request::{Classed, Request},
 };
--- /dev/null
+++ b/crates/gateway/src/app.rs
@@ -0,0 +1,180 @@
+//! What all requests of one gateway share.
+
+use std::{
+    sync::{
+        atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc, Mutex, MutexGuard,
+    },
+    time::Instant,
+};
+
+use arc_swap::ArcSwap;
+use indexmap::IndexMap;
+use net::Lifecycle;
+use policy::{
+    placement::{Capacity, Placeable, Placer},
+    retry::WindowBudget,
+    roster::{Member, Roster},
+};
+use types::{InstanceId, TimeMs, UpstreamName};
+
+use crate::{dialect::Dialect, routing::Routing, upstream::Pool, Settings};
+
+/// The instances that requests may be placed on, as of one roster.
+#[derive(Debug, Default)]
+pub(crate) struct View {
+    pub(crate) revision: u64,
+    pub(crate) usable: usize,
+    addrs: IndexMap<InstanceId, Arc<str>>,
+}
+
+impl View {
+    /// Address of an instance.
+    pub(crate) fn addr(&self, instance: &InstanceId) -> Option<&Arc<str>> {
+        self.addrs.get(instance)
+    }
+}
+
+/// State of one gateway.
+pub(crate) struct App {
+    pub(crate) settings: Settings,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) routing: ArcSwap<Routing>,
+    pub(crate) view: ArcSwap<View>,
+    pub(crate) roster: Mutex<Roster>,
+    pub(crate) pool: Pool,
+    pub(crate) lifecycle: Lifecycle,
+    placers: Mutex<IndexMap<UpstreamName, Placer>>,
+    budgets: Mutex<IndexMap<UpstreamName, WindowBudget>>,
+    /// Whether the list of instances has been seen.
+    listed: AtomicBool,
+    roster_confirmed_at: AtomicU64,
+    origin: Instant,
+}
+
+impl App {
+    pub(crate) fn new(settings: Settings, dialect: Arc<dyn Dialect>) -> Self {
+        Self {
+            settings,
+            dialect,
+            routing: ArcSwap::default(),
+            view: ArcSwap::default(),
+            roster: Mutex::default(),
+            pool: Pool::default(),
+            lifecycle: Lifecycle::default(),
+            placers: Mutex::default(),
+            budgets: Mutex::default(),
+            listed: AtomicBool::new(false),
+            roster_confirmed_at: AtomicU64::new(0),
+            origin: Instant::now(),
+        }
+    }
+
+    /// Time now, on the process's own monotonic clock.
+    pub(crate) fn now(&self) -> TimeMs {
+        TimeMs(self.origin.elapsed().as_millis() as u64)
+    }
+
+    /// Whether the balancer may send requests.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.lifecycle.is_draining()
+            && self.routing.load().version > 0
+            && self.listed.load(Ordering::Relaxed)
+    }
+
+    /// Notes that the platform confirmed the roster just now.
+    pub(crate) fn on_roster_confirmed(&self) {
+        self.listed.store(true, Ordering::Relaxed);
+        self.roster_confirmed_at
+            .store(self.now().0, Ordering::Relaxed);
+    }
+
+    /// Time since the platform last confirmed the roster, in milliseconds.
+    pub(crate) fn roster_age_ms(&self) -> u64 {
+        self.now()
+            .since(TimeMs(self.roster_confirmed_at.load(Ordering::Relaxed)))
+    }
+
+    /// Runs `change` on the placer of an upstream.
+    pub(crate) fn with_placer<T>(
+        &self,
+        upstream: &UpstreamName,
+        change: impl FnOnce(&mut Placer) -> T,
+    ) -> T {
+        let mut placers = lock(&self.placers);
+        change(placers.entry(upstream.clone()).or_default())
+    }
+
+    /// Runs `change` on the retry budget of an upstream.
+    pub(crate) fn with_budget<T>(
+        &self,
+        upstream: &UpstreamName,
+        change: impl FnOnce(&mut WindowBudget) -> T,
+    ) -> T {
+        let mut budgets = lock(&self.budgets);
+        let budget = budgets.entry(upstream.clone()).or_insert_with(|| {
+            let bound = &self.settings.retry_bound;
+            WindowBudget::new(bound.ratio, bound.allowance, bound.window_ms)
+        });
+        change(budget)
+    }
+
+    /// Takes over the roster and the configuration for new requests.
+    pub(crate) fn refresh_view(&self) -> Arc<View> {
+        let (revision, usable) = {
+            let roster = lock(&self.roster);
+            (roster.revision(), roster.usable())
+        };
+        let routing = self.routing.load();
+        let mut placers = lock(&self.placers);
+        for (upstream, placer) in placers.iter_mut() {
+            if !usable.contains_key(upstream) {
+                placer.set_members(&[]);
+            }
+        }
+        let mut view = View {
+            revision,
+            ..View::default()
+        };
+        for (upstream, members) in usable {
+            let spec = routing.upstreams.get(&upstream);
+            let memory_tokens = spec.and_then(|spec| spec.memory_tokens);
+            let placeable: Vec<Placeable> = members
+                .iter()
+                .map(|member| placeable(member, memory_tokens))
+                .collect();
+            placers.entry(upstream).or_default().set_members(&placeable);
+            view.usable += members.len();
+            for member in members {
+                view.addrs.insert(member.instance, member.addr);
+            }
+        }
+        drop(placers);
+        let view = Arc::new(view);
+        self.view.store(view.clone());
+        view
+    }
+}
+
+fn placeable(member: &Member, memory_tokens: Option<u64>) -> Placeable {
+    let slots = member.slots;
+    Placeable {
+        instance: member.instance.clone(),
+        incarnation: member.incarnation,
+        capacity: match memory_tokens {
+            Some(memory_tokens) => Capacity::Engine {
+                slots,
+                memory_tokens,
+            },
+            None => Capacity::Service { slots },
+        },
+    }
+}
+
+/// Locks a mutex; a panic elsewhere never leaves the guarded values half
+/// changed, so a poisoned lock is used as it is.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
+}
--- /dev/null
+++ b/crates/gateway/src/routing.rs
@@ -0,0 +1,204 @@
+//! The configuration in force, in the form that a request needs.
+
+use std::{sync::Arc, time::Duration};
+
+use indexmap::IndexMap;
+use types::{Priority, TeamName, UpstreamName};
+
+/// How often a request may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeatable {
+    /// Any number of times.
+    Always,
+    /// Once at most.
+    Never,
+    /// Once, but another instance may go on after the last event delivered.
+    ByResuming,
+}
+
+/// What an answer looks like.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerForm {
+    /// One body, delivered whole or not at all.
+    Whole,
+    /// Events that are delivered as they come.
+    Events {
+        /// Longest pause between two events for which the answer is on time.
+        gap_target: Duration,
+    },
+}
+
+/// A share of a route's requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// Where it goes.
+    pub upstream: UpstreamName,
+    /// Its weight among the route's shares.
+    pub weight: u32,
+}
+
+/// A route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// Its name, for logs.
+    pub name: Arc<str>,
+    /// Host that callers name.
+    pub host: Arc<str>,
+    /// Start of the path; begins and ends with a slash.
+    pub prefix: Arc<str>,
+    /// How often a request may run.
+    pub repeatable: Repeatable,
+    /// What its answers look like.
+    pub form: AnswerForm,
+    /// Longest time that a caller is kept waiting.
+    pub timeout: Duration,
+    /// Time within which an answer, or its first event, is on time.
+    pub target: Duration,
+    /// Rank among the routes.
+    pub priority: Priority,
+    /// Where its requests go. Never empty.
+    pub shares: Vec<Share>,
+    /// Instances that one request may be sent to at most, at least 1.
+    pub attempts_max: u32,
+    /// Whether callers need no key.
+    pub public: bool,
+}
+
+/// What an upstream's instances are.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamSpec {
+    /// Connections that one instance takes from all callers together.
+    pub connections_max: u32,
+    /// Tokens that one instance has memory for; `None` for a plain service.
+    pub memory_tokens: Option<u64>,
+}
+
+/// Who may call.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Teams {
+    by_key: IndexMap<Arc<str>, Arc<Team>>,
+}
+
+/// A team.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Team {
+    /// Its name.
+    pub name: TeamName,
+    /// Goes before the priority of the route.
+    pub priority: Option<Priority>,
+}
+
+impl Teams {
+    /// Adds a team with its keys.
+    pub fn add(&mut self, team: Team, keys: impl IntoIterator<Item = Arc<str>>) {
+        let team = Arc::new(team);
+        for key in keys {
+            self.by_key.insert(key, team.clone());
+        }
+    }
+
+    /// The team that holds a key.
+    pub fn of_key(&self, key: &str) -> Option<&Arc<Team>> {
+        self.by_key.get(key)
+    }
+}
+
+/// What callers may send and how long they may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Largest request head.
+    pub head_max_bytes: usize,
+    /// Largest request body.
+    pub body_max_bytes: u64,
+    /// Time for a request head, and for each pause within a body.
+    pub head_timeout: Duration,
+    /// Longest wait for the next request on a kept connection.
+    pub idle_timeout: Duration,
+}
+
+impl Default for Limits {
+    /// What holds before the first configuration.
+    fn default() -> Self {
+        Self {
+            head_max_bytes: 16 << 10,
+            body_max_bytes: 4 << 20,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+/// A whole configuration.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Routing {
+    /// Rises with each configuration; 0 before the first.
+    pub version: u64,
+    /// Routes by host; those of a host from the longest prefix on.
+    routes: IndexMap<Arc<str>, Vec<Arc<Route>>>,
+    /// Upstreams by name.
+    pub upstreams: IndexMap<UpstreamName, UpstreamSpec>,
+    /// `None` if callers need no keys at all.
+    pub teams: Option<Teams>,
+    /// Bounds for callers.
+    pub limits: Limits,
+}
+
+impl Routing {
+    /// Makes a configuration.
+    pub fn new(version: u64, routes: impl IntoIterator<Item = Route>) -> Self {
+        let mut by_host: IndexMap<Arc<str>, Vec<Arc<Route>>> = IndexMap::new();
+        for route in routes {
+            by_host
+                .entry(route.host.clone())
+                .or_default()
+                .push(Arc::new(route));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        Self {
+            version,
+            routes: by_host,
+            ..Self::default()
+        }
+    }
+
+    /// The route of a request: the longest prefix of its host that begins its
+    /// path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host.split(':').next().unwrap_or(host);
+        let routes = match self.routes.get(name) {
+            Some(routes) => routes,
+            None => self.routes.get(name.to_ascii_lowercase().as_str())?,
+        };
+        routes
+            .iter()
+            .find(|route| path.starts_with(route.prefix.as_ref()))
+    }
+
+    /// Number of routes.
+    pub fn routes(&self) -> usize {
+        self.routes.values().map(Vec::len).sum()
+    }
+}
+
+impl Route {
+    /// The upstream of a request, by weight; `random` is a number drawn anew
+    /// for each request.
+    pub fn draw_upstream(&self, random: u64) -> &UpstreamName {
+        let total: u64 = self
+            .shares
+            .iter()
+            .map(|share| u64::from(share.weight))
+            .sum();
+        let mut drawn = random % total.max(1);
+        for share in &self.shares {
+            let weight = u64::from(share.weight);
+            if drawn < weight {
+                return &share.upstream;
+            }
+            drawn -= weight;
+        }
+        &self.shares[0].upstream
+    }
+}
--- a/crates/limpetgw/src/cli/common.rs
+++ b/crates/limpetgw/src/cli/common.rs
@@ -37,10 +37,17 @@
     /// Internal addresses (IP:port) asked when the platform is unavailable.
     #[arg(long, env = "LIMPETGW_SEEDS", value_delimiter = ',')]
     seeds: Vec<String>,
+    #[command(flatten)]
+    process: ProcessArgs,
+}
+
+/// Settings that all daemons share.
+#[derive(Debug, Args)]
+pub(crate) struct ProcessArgs {
     /// Threads that serve requests
     #[arg(long, env = "LIMPETGW_THREADS", default_value_t = 4, value_parser = clap::value_parser!(u16).range(1..=256))]
     threads: u16,
-    /// Form of the log lines on standard error.
+    /// Form of the log lines.
     #[arg(long, env = "LIMPETGW_LOG_FORMAT", value_enum, default_value = "json")]
     log_format: LogFormat,
     /// Least severe log level that is written: error, warn, info, debug or off.
@@ -81,6 +88,13 @@
 
     /// Sets up the executor, logs and metrics of a daemon.
     pub(crate) fn start_process(&self) {
+        self.process.start(telemetry::LogOutput::Stderr);
+    }
+}
+
+impl ProcessArgs {
+    /// Sets up the executor, logs and metrics of a daemon.
+    pub(crate) fn start(&self, output: telemetry::LogOutput) {
         let threads = usize::from(self.threads);
         let config = GlobalExecutorConfig::default()
             .with_min_threads(threads)
@@ -91,7 +105,7 @@
             LogFormat::Text => telemetry::LogFormat::Text,
         };
         // Called once, first thing in a daemon: no other logger exists.
-        let _ = telemetry::init_log(format, self.log_level);
+        let _ = telemetry::init_log(output, format, self.log_level);
         telemetry::init_metrics();
     }
 }
--- /dev/null
+++ b/crates/limpetgw/src/cli/gateway.rs
@@ -0,0 +1,98 @@
+//! `limpetgw gateway`.
+
+use std::{net::SocketAddr, time::Duration};
+
+use clap::Args;
+use gateway::RetryBound;
+
+use super::{
+    common::{checked_addr, ProcessArgs},
+    CliError,
+};
+
+/// Milliseconds of a second.
+const MS_PER_S: f64 = 1_000.0;
+
+/// Settings of a gateway.
+#[derive(Debug, Args)]
+pub(crate) struct GatewayArgs {
+    /// Unique name of this process.
+    #[arg(long, env = "LIMPETGW_INSTANCE")]
+    instance: String,
+    /// Availability zone of this process.
+    #[arg(long, env = "LIMPETGW_ZONE")]
+    zone: String,
+    /// Address of the platform's store (IP:port).
+    #[arg(long, env = "LIMPETGW_STORE")]
+    store: String,
+    /// Address for callers.
+    #[arg(long, env = "LIMPETGW_LISTEN", default_value = "127.0.0.1:8080")]
+    listen: SocketAddr,
+    /// Address for /readyz and /metrics.
+    #[arg(
+        long,
+        env = "LIMPETGW_OPERATOR_LISTEN",
+        default_value = "127.0.0.1:8081"
+    )]
+    operator_listen: SocketAddr,
+    /// Attempts beyond the first that all gateways together may make for each
+    /// request of the window.
+    #[arg(long, env = "LIMPETGW_RETRY_RATIO", default_value_t = 0.2, value_parser = at_least_zero)]
+    retry_ratio: f64,
+    /// Attempts beyond those that all gateways together may make in the window.
+    #[arg(long, env = "LIMPETGW_RETRY_ALLOWANCE", default_value_t = 50.0, value_parser = at_least_zero)]
+    retry_allowance: f64,
+    /// Length of the sliding window for retries, in seconds.
+    #[arg(long, env = "LIMPETGW_RETRY_WINDOW_S", default_value_t = 10.0, value_parser = at_least_zero)]
+    retry_window_s: f64,
+    /// Time from SIGTERM until the process is killed, in seconds.
+    #[arg(long, env = "LIMPETGW_GRACE_S", default_value_t = 8.0, value_parser = at_least_zero)]
+    grace_s: f64,
+    /// Time for which the balancer sends new connections after the process has
+    /// stopped being ready, in milliseconds.
+    #[arg(long, env = "LIMPETGW_BALANCER_LAG_MS", default_value_t = 2_500, value_parser = clap::value_parser!(u64).range(0..=600_000))]
+    balancer_lag_ms: u64,
+    #[command(flatten)]
+    process: ProcessArgs,
+}
+
+impl GatewayArgs {
+    pub(crate) async fn run(&self) -> Result<(), CliError> {
+        if self.listen == self.operator_listen && self.listen.port() != 0 {
+            return Err(CliError::Setting {
+                flag: "--operator-listen",
+                value: self.operator_listen.to_string(),
+                allowed: "an address other than --listen".into(),
+            });
+        }
+        let store_addr = checked_addr("--store", &self.store)?;
+        let settings = gateway::Settings::builder()
+            .instance(self.instance.as_str().into())
+            .zone(self.zone.as_str().into())
+            .listen(self.listen)
+            .operator_listen(self.operator_listen)
+            .store_addr(store_addr.clone())
+            .retry_bound(RetryBound {
+                ratio: self.retry_ratio,
+                allowance: self.retry_allowance,
+                window_ms: (self.retry_window_s * MS_PER_S) as u64,
+            })
+            .grace(Duration::from_secs_f64(self.grace_s))
+            .balancer_lag(Duration::from_millis(self.balancer_lag_ms))
+            .build();
+        self.process.start(telemetry::LogOutput::Stdout);
+        let ran = gateway::run(settings, platform::parts(&store_addr)).await;
+        telemetry::flush_log();
+        Ok(ran?)
+    }
+}
+
+/// Parses a number that is not negative, and no larger than a day in seconds.
+fn at_least_zero(text: &str) -> Result<f64, String> {
+    const MAX: f64 = 86_400.0;
+    match text.parse::<f64>() {
+        Ok(value) if (0.0..=MAX).contains(&value) => Ok(value),
+        Ok(_) => Err(format!("a number from 0 to {MAX}")),
+        Err(error) => Err(error.to_string()),
+    }
+}
--- a/crates/limpetgw/src/cli/mod.rs
+++ b/crates/limpetgw/src/cli/mod.rs
@@ -7,6 +7,7 @@
 mod drain;
 mod entry;
 mod explain;
+mod gateway;
 mod keys;
 mod operator;
 mod status;
@@ -30,6 +31,9 @@
 enum Command {
     /// Run an entry: take in callers and route their requests.
     Entry(Box<entry::EntryArgs>),
+    /// Run a gateway: an entry that sends straight to the instances of the
+    /// users' platform.
+    Gateway(Box<gateway::GatewayArgs>),
     /// Run an agent: the gate beside one upstream instance.
     Agent(Box<agent::AgentArgs>),
     /// Show why a request went where it went, from log files.
@@ -67,6 +71,9 @@
     /// The entry could not run.
     #[error(transparent)]
     Entry(#[from] ::entry::RunError),
+    /// The gateway could not run.
+    #[error(transparent)]
+    Gateway(#[from] ::gateway::RunError),
     /// The agent could not run.
     #[error(transparent)]
     Agent(#[from] ::agent::RunError),
@@ -80,7 +87,10 @@
         match self {
             CliError::Setting { .. } => ExitCode::from(EXIT_USAGE),
             CliError::Operator(error) => ExitCode::from(error.exit_code()),
-            CliError::NothingFound | CliError::Entry(_) | CliError::Agent(_) => ExitCode::FAILURE,
+            CliError::NothingFound
+            | CliError::Entry(_)
+            | CliError::Gateway(_)
+            | CliError::Agent(_) => ExitCode::FAILURE,
         }
     }
 }
@@ -89,6 +99,7 @@
     pub(crate) async fn run(self) -> Result<(), CliError> {
         match self.command {
             Command::Entry(args) => args.run().await,
+            Command::Gateway(args) => args.run().await,
             Command::Agent(args) => args.run().await,
             Command::Explain(args) => args.run(),
             Command::Config(args) => args.run().await,
--- a/crates/entry/src/head_guard.rs
+++ b/crates/net/src/head_guard.rs
@@ -9,6 +9,7 @@
     io,
     net::SocketAddr,
     pin::Pin,
+    sync::Arc,
     task::{ready, Context, Poll},
     time::Duration,
 };
@@ -17,12 +18,6 @@
 use memchr::memmem;
 use smol::Timer;
 use trillium_server_common::{Acceptor, Transport};
-use types::{ErrorCode, RequestId};
-
-use crate::{
-    failure::{Failure, REQUEST_ID_HEADER},
-    filters::request_id,
-};
 
 /// End of a request's head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
@@ -30,28 +25,63 @@
 /// large are answered by a filter.
 const HEAD_MAX_BYTES: usize = 48 << 10;
 
+/// Why a head is not handed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeadRefusal {
+    /// It did not end in time.
+    Late {
+        /// The time it had, in milliseconds.
+        timeout_ms: u64,
+    },
+    /// It has more bytes than are ever handed on.
+    TooLarge {
+        /// The bound, in bytes.
+        max_bytes: usize,
+    },
+}
+
+/// What a listener allows its callers. Read anew for each connection and
+/// head, so that it may follow a configuration.
+pub trait GuardPolicy: Send + Sync + 'static {
+    /// Time for a head, from its first byte.
+    fn head_timeout(&self) -> Duration;
+
+    /// Longest wait for the next request on a kept connection, if bounded.
+    fn idle_timeout(&self) -> Option<Duration>;
+
+    /// Longest wait for a caller that takes nothing of its answer.
+    fn stall_timeout(&self) -> Duration;
+
+    /// The answer to a refused head, as it goes over the connection.
+    fn refuse(&self, refusal: HeadRefusal) -> Vec<u8>;
+}
+
 /// Guards each accepted connection.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct HeadGuard {
-    timeout: Duration,
+#[derive(Debug)]
+pub struct HeadGuard<P>(Arc<P>);
+
+impl<P> HeadGuard<P> {
+    /// Makes a guard that keeps to `policy`.
+    pub fn new(policy: Arc<P>) -> Self {
+        Self(policy)
+    }
 }
 
-impl HeadGuard {
-    /// Makes a guard that gives each head `timeout` from its first byte.
-    pub(crate) fn new(timeout: Duration) -> Self {
-        Self { timeout }
+impl<P> Clone for HeadGuard<P> {
+    fn clone(&self) -> Self {
+        Self(self.0.clone())
     }
 }
 
-impl<T: Transport + 'static> Acceptor<T> for HeadGuard {
-    type Output = Guarded<T>;
+impl<T: Transport + 'static, P: GuardPolicy> Acceptor<T> for HeadGuard<P> {
+    type Output = Guarded<T, P>;
     type Error = io::Error;
 
     async fn accept(&self, input: T) -> Result<Self::Output, Self::Error> {
         Ok(Guarded {
             inner: input,
-            timeout: self.timeout,
-            phase: Phase::Idle,
+            policy: self.0.clone(),
+            phase: Phase::idle(),
             stalled: None,
         })
     }
@@ -64,7 +94,10 @@
 /// Where a connection is in the exchange of requests and answers.
 enum Phase {
     /// Waiting for the first byte of a head.
-    Idle,
+    Idle {
+        /// Started when the wait is first seen.
+        timer: Option<Timer>,
+    },
     /// A head is coming in.
     Head {
         timer: Timer,
@@ -78,16 +111,22 @@
     Telling { answer: Vec<u8>, written: usize },
 }
 
+impl Phase {
+    fn idle() -> Self {
+        Phase::Idle { timer: None }
+    }
+}
+
 /// A connection under guard.
-pub(crate) struct Guarded<T> {
+pub struct Guarded<T, P> {
     inner: T,
-    timeout: Duration,
+    policy: Arc<P>,
     phase: Phase,
     /// Runs out when the caller has taken nothing for too long.
     stalled: Option<Timer>,
 }
 
-impl<T: Transport> Guarded<T> {
+impl<T: Transport, P: GuardPolicy> Guarded<T, P> {
     /// Fails a write that has waited too long for the caller.
     fn watch_write<R>(
         &mut self,
@@ -98,16 +137,16 @@
             self.stalled = None;
             return wrote;
         }
-        let timeout = self.timeout;
+        let timeout = self.policy.stall_timeout();
         let timer = self.stalled.get_or_insert_with(|| Timer::after(timeout));
         ready!(Pin::new(timer).poll(cx));
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 
     fn on_read(&mut self, bytes: &[u8]) {
-        if matches!(self.phase, Phase::Idle) {
+        if matches!(self.phase, Phase::Idle { .. }) {
             self.phase = Phase::Head {
-                timer: Timer::after(self.timeout),
+                timer: Timer::after(self.policy.head_timeout()),
                 tail: Vec::new(),
                 size_bytes: 0,
             };
@@ -123,16 +162,15 @@
         if ends_head(tail, bytes) {
             self.phase = Phase::Handed;
         } else if size_bytes > HEAD_MAX_BYTES {
-            self.refuse(Failure::not_run(
-                ErrorCode::HeadersTooLarge,
-                format!("send a request head of at most {HEAD_MAX_BYTES} bytes"),
-            ));
+            self.refuse(HeadRefusal::TooLarge {
+                max_bytes: HEAD_MAX_BYTES,
+            });
         }
     }
 
-    fn refuse(&mut self, failure: Failure) {
+    fn refuse(&mut self, refusal: HeadRefusal) {
         self.phase = Phase::Telling {
-            answer: raw_answer(&failure, &request_id::from_header(None)),
+            answer: self.policy.refuse(refusal),
             written: 0,
         };
     }
@@ -143,11 +181,21 @@
             return Poll::Pending;
         };
         ready!(Pin::new(timer).poll(cx));
-        let timeout_ms = self.timeout.as_millis();
-        self.refuse(Failure::not_run(
-            ErrorCode::RequestTimeout,
-            format!("send the whole request within {timeout_ms} ms"),
-        ));
+        let timeout_ms = self.policy.head_timeout().as_millis() as u64;
+        self.refuse(HeadRefusal::Late { timeout_ms });
+        Poll::Ready(())
+    }
+
+    /// Ready once a kept connection has been idle for too long.
+    fn poll_idle(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let Phase::Idle { timer } = &mut self.phase else {
+            return Poll::Pending;
+        };
+        let Some(timeout) = self.policy.idle_timeout() else {
+            return Poll::Pending;
+        };
+        let timer = timer.get_or_insert_with(|| Timer::after(timeout));
+        ready!(Pin::new(timer).poll(cx));
         Poll::Ready(())
     }
 
@@ -164,7 +212,7 @@
     }
 }
 
-impl<T: Transport> AsyncRead for Guarded<T> {
+impl<T: Transport, P: GuardPolicy> AsyncRead for Guarded<T, P> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -179,6 +227,9 @@
                 self.on_read(&buf[..count]);
             }
         }
+        if read.is_pending() && self.poll_idle(cx).is_ready() {
+            return Poll::Ready(Ok(0));
+        }
         let late = read.is_pending() && self.poll_late(cx).is_ready();
         if late || matches!(self.phase, Phase::Telling { .. }) {
             return self.poll_tell(cx);
@@ -187,13 +238,13 @@
     }
 }
 
-impl<T: Transport> AsyncWrite for Guarded<T> {
+impl<T: Transport, P: GuardPolicy> AsyncWrite for Guarded<T, P> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.phase = Phase::Idle;
+        self.phase = Phase::idle();
         let wrote = Pin::new(&mut self.inner).poll_write(cx, buf);
         self.watch_write(cx, wrote)
     }
@@ -203,7 +254,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.phase = Phase::Idle;
+        self.phase = Phase::idle();
         let wrote = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
         self.watch_write(cx, wrote)
     }
@@ -217,7 +268,7 @@
     }
 }
 
-impl<T: Transport> Transport for Guarded<T> {
+impl<T: Transport, P: GuardPolicy> Transport for Guarded<T, P> {
     fn set_linger(&mut self, linger: Option<Duration>) -> io::Result<()> {
         self.inner.set_linger(linger)
     }
@@ -245,15 +296,3 @@
     tail.drain(..kept);
     ends
 }
-
-/// The answer as it goes over the connection, which is closed after it.
-fn raw_answer(failure: &Failure, request_id: &RequestId) -> Vec<u8> {
-    let status = failure.code.http_status();
-    let body = serde_json::to_string(&failure.body(request_id)).unwrap_or_default();
-    let length = body.len();
-    format!(
-        "HTTP/1.1 {status} Refused\r\nconnection: close\r\ncontent-type: application/json\r\n\
-         {REQUEST_ID_HEADER}: {request_id}\r\ncontent-length: {length}\r\n\r\n{body}"
-    )
-    .into_bytes()
-}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,8 @@
 
 pub mod admission;
 pub mod choice;
+pub mod placement;
 pub mod quarantine;
 pub mod retry;
+pub mod roster;
 pub mod schedule;
--- /dev/null
+++ b/crates/policy/src/placement/mod.rs
@@ -0,0 +1,224 @@
+//! Where a request goes when an entry sends straight to the instances.
+//!
+//! Load pattern: many prompts share long parts, the instances together can
+//! keep every part once but not each of them everywhere, and several entries
+//! place at the same time without talking. Reading a shared part again costs
+//! more of an engine than writing the answer, so a prompt goes to the instance
+//! that all entries agree on (its home), unless waiting there costs more than
+//! reading the prompt elsewhere.
+//!
+//! Everything is weighed in milliseconds until the first event. Own sends
+//! count at once; the load of other entries shows in how late first events
+//! come compared with the prediction.
+
+mod cache;
+mod home;
+mod instance;
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use types::{InstanceId, TimeMs};
+
+pub use instance::{Capacity, Ticket};
+
+use home::home_ranks;
+use instance::Tracked;
+
+/// A part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Names the content.
+    pub id: u64,
+    /// Its length.
+    pub tokens: u32,
+}
+
+/// What a request asks of an instance.
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    /// The prompt's parts in order; the last one is the request's own.
+    /// Empty for a call of a plain service.
+    pub parts: Arc<[Part]>,
+    /// Length of the whole prompt.
+    pub prompt_tokens: u32,
+    /// Tokens that the answer has at most.
+    pub output_tokens: u32,
+}
+
+impl Demand {
+    /// The parts that other requests may have in common with this one.
+    fn shared(&self) -> &[Part] {
+        match self.parts.split_last() {
+            Some((_own, shared)) => shared,
+            None => &[],
+        }
+    }
+}
+
+/// An instance that requests may be placed on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placeable {
+    /// Who.
+    pub instance: InstanceId,
+    /// Differs between starts under the same name.
+    pub incarnation: u64,
+    /// What it offers.
+    pub capacity: Capacity,
+}
+
+/// The chosen instance and what decided.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placement {
+    /// Where the request goes.
+    pub instance: InstanceId,
+    /// Predicted time until the first event, in milliseconds.
+    pub predicted_ms: f64,
+    /// Prompt tokens that need not be read, as far as this entry knows.
+    pub cached_tokens: u32,
+    /// Place of the instance in the prompt's order of homes, 0 for the first.
+    pub home_rank: usize,
+    /// Own requests there.
+    pub in_flight: u32,
+}
+
+/// Places the requests of one upstream.
+///
+/// # Invariants
+///
+/// - Statistics of an instance live as long as it is a member; a new
+///   incarnation is a new instance.
+/// - The choice depends on own observations only, so two entries without any
+///   load agree on it.
+#[derive(Debug, Default)]
+pub struct Placer {
+    instances: IndexMap<InstanceId, Tracked>,
+}
+
+impl Placer {
+    /// Relative advantage below which the better home is kept, so that small
+    /// differences do not scatter a prompt over the instances.
+    const HOME_BONUS_MS: f64 = 4.0;
+
+    /// Takes over the members as they are now.
+    pub fn set_members(&mut self, members: &[Placeable]) {
+        let mut before = std::mem::take(&mut self.instances);
+        for member in members {
+            let kept = before
+                .swap_remove(&member.instance)
+                .filter(|tracked| tracked.incarnation() == member.incarnation);
+            let mut tracked = kept.unwrap_or_else(|| Tracked::new(member));
+            tracked.set_capacity(member.capacity);
+            self.instances.insert(member.instance.clone(), tracked);
+        }
+    }
+
+    /// Members known.
+    pub fn members(&self) -> usize {
+        self.instances.len()
+    }
+
+    /// Chooses an instance that is not in `exclude`; `None` if there is none
+    /// that may be tried.
+    pub fn choose(
+        &self,
+        now: TimeMs,
+        demand: &Demand,
+        exclude: &[InstanceId],
+    ) -> Option<Placement> {
+        self.choose_among(now, demand, exclude, |tracked| tracked.is_usable(now))
+            .or_else(|| self.choose_among(now, demand, exclude, |tracked| !tracked.is_full(now)))
+    }
+
+    fn choose_among(
+        &self,
+        now: TimeMs,
+        demand: &Demand,
+        exclude: &[InstanceId],
+        usable: impl Fn(&Tracked) -> bool,
+    ) -> Option<Placement> {
+        let ranks = home_ranks(self.instances.keys(), demand.shared());
+        let mut best: Option<(f64, Placement)> = None;
+        for (index, (instance, tracked)) in self.instances.iter().enumerate() {
+            if exclude.contains(instance) || !usable(tracked) {
+                continue;
+            }
+            let home_rank = ranks[index];
+            let cached_tokens = tracked.cached_tokens(now, demand, home_rank);
+            let predicted_ms = tracked.predicted_ms(now, demand, cached_tokens);
+            let cost = predicted_ms + Self::HOME_BONUS_MS * home_rank.min(2) as f64;
+            if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
+                let placement = Placement {
+                    instance: instance.clone(),
+                    predicted_ms,
+                    cached_tokens,
+                    home_rank,
+                    in_flight: tracked.in_flight(),
+                };
+                best = Some((cost, placement));
+            }
+        }
+        best.map(|(_, placement)| placement)
+    }
+
+    /// Notes that a request was sent as placed. The ticket is handed back with
+    /// [`Placer::on_end`].
+    pub fn on_sent(&mut self, now: TimeMs, demand: &Demand, placement: &Placement) -> Ticket {
+        let Some(tracked) = self.instances.get_mut(&placement.instance) else {
+            return Ticket::default();
+        };
+        tracked.on_sent(now, demand, placement)
+    }
+
+    /// Notes the first event, or the head of a plain answer.
+    pub fn on_first_event(&mut self, now: TimeMs, instance: &InstanceId, ticket: &mut Ticket) {
+        if let Some(tracked) = self.instances.get_mut(instance) {
+            tracked.on_first_event(now, ticket);
+        }
+    }
+
+    /// Notes a sign of life.
+    pub fn on_heard(&mut self, now: TimeMs, instance: &InstanceId) {
+        if let Some(tracked) = self.instances.get_mut(instance) {
+            tracked.on_heard(now);
+        }
+    }
+
+    /// Notes that a request left the instance, whatever its outcome.
+    pub fn on_end(&mut self, instance: &InstanceId, ticket: Ticket) {
+        if let Some(tracked) = self.instances.get_mut(instance) {
+            tracked.on_end(ticket);
+        }
+    }
+
+    /// Notes an answer that the instance failed: an error of its own, a broken
+    /// connection, bytes that make no answer.
+    pub fn on_failure(&mut self, now: TimeMs, instance: &InstanceId) {
+        if let Some(tracked) = self.instances.get_mut(instance) {
+            tracked.on_failure(now);
+        }
+    }
+
+    /// Notes that the instance had no room.
+    pub fn on_full(&mut self, now: TimeMs, instance: &InstanceId) {
+        if let Some(tracked) = self.instances.get_mut(instance) {
+            tracked.on_full(now);
+        }
+    }
+
+    /// Notes that the instance can't be used at all: another one has its
+    /// address, or nobody listens there.
+    pub fn on_unreachable(&mut self, now: TimeMs, instance: &InstanceId) {
+        if let Some(tracked) = self.instances.get_mut(instance) {
+            tracked.on_unreachable(now);
+        }
+    }
+
+    /// Whether nothing was heard of the instance for `silence_ms` though it
+    /// owes answers.
+    pub fn is_silent(&self, now: TimeMs, instance: &InstanceId, silence_ms: u64) -> bool {
+        self.instances
+            .get(instance)
+            .is_none_or(|tracked| tracked.is_silent(now, silence_ms))
+    }
+}
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -1,5 +1,7 @@
 //! A budget that keeps retries and hedges a small fraction of the requests.
 
+use std::collections::VecDeque;
+
 use types::TimeMs;
 
 /// Extra attempts that one entry may make.
@@ -86,3 +88,93 @@
     let wait_ms = expected_wait_ms.clamp(MIN_MS, MAX_MS);
     wait_ms / 2 + random % (wait_ms + 1)
 }
+
+/// Bounds the attempts beyond the first of one upstream's requests over a
+/// sliding window, where the bound is set for all entries together and they
+/// do not talk about it.
+///
+/// Load pattern: instances fail many requests at once, every entry wants to
+/// repeat its own, and the repeats would keep the instances from recovering.
+///
+/// # Invariants
+///
+/// The entries' shares add up to less than the bound: each takes
+/// [`WindowBudget::SHARE_OF_RATIO`] of the ratio from its own requests, which
+/// sum up to all requests, and one part in
+/// [`WindowBudget::ENTRIES_ASSUMED`] of the fixed allowance.
+#[derive(Debug)]
+pub struct WindowBudget {
+    ratio: f64,
+    allowance: f64,
+    span_ms: u64,
+    spans: VecDeque<Span>,
+}
+
+/// Requests and repeats of one part of the window.
+#[derive(Clone, Copy, Debug)]
+struct Span {
+    number: u64,
+    requests: u32,
+    repeats: u32,
+}
+
+impl WindowBudget {
+    /// Part of the ratio that is used; the rest is left for requests that are
+    /// counted in another window by those who set the bound.
+    pub const SHARE_OF_RATIO: f64 = 0.75;
+    /// Entries among which the fixed allowance is shared out. Fleets in use
+    /// have up to 24; a larger one sets a smaller allowance.
+    pub const ENTRIES_ASSUMED: f64 = 24.0;
+    /// Parts of the window that are counted one by one.
+    const SPANS: u64 = 20;
+
+    /// Makes a budget from the bound for all entries: `ratio` repeats for each
+    /// request and `allowance` more, within `window_ms`.
+    pub fn new(ratio: f64, allowance: f64, window_ms: u64) -> Self {
+        Self {
+            ratio: ratio * Self::SHARE_OF_RATIO,
+            allowance: allowance / Self::ENTRIES_ASSUMED,
+            span_ms: (window_ms / Self::SPANS).max(1),
+            spans: VecDeque::new(),
+        }
+    }
+
+    /// Notes a first attempt.
+    pub fn on_request(&mut self, now: TimeMs) {
+        self.span(now).requests += 1;
+    }
+
+    /// Takes one more attempt from the budget, if it allows one.
+    pub fn try_take(&mut self, now: TimeMs) -> bool {
+        self.span(now);
+        let requests: u32 = self.spans.iter().map(|span| span.requests).sum();
+        let repeats: u32 = self.spans.iter().map(|span| span.repeats).sum();
+        let allowed = self.ratio * f64::from(requests) + self.allowance;
+        if f64::from(repeats) + 1.0 > allowed {
+            return false;
+        }
+        self.span(now).repeats += 1;
+        true
+    }
+
+    /// The span of now, after dropping those that left the window.
+    fn span(&mut self, now: TimeMs) -> &mut Span {
+        let number = now.0 / self.span_ms;
+        while self
+            .spans
+            .front()
+            .is_some_and(|span| span.number + Self::SPANS < number)
+        {
+            self.spans.pop_front();
+        }
+        if self.spans.back().is_none_or(|span| span.number < number) {
+            self.spans.push_back(Span {
+                number,
+                requests: 0,
+                repeats: 0,
+            });
+        }
+        let last = self.spans.len() - 1;
+        &mut self.spans[last]
+    }
+}
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -1,43 +1,30 @@
 //! The platform over its HTTP API.
 
-use std::{io::ErrorKind, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use futures_lite::FutureExt;
-use serde::{de::DeserializeOwned, Deserialize};
-use trillium_client::{Client, Conn};
+use serde::Deserialize;
+use trillium_client::Conn;
 use trillium_http::Method;
-use trillium_smol::ClientConfig;
 
 use crate::{
     api::{
         BoxFuture, Condition, InstanceList, InstanceSource, Key, Listed, Object, ObjectStore,
         StoreError,
     },
-    limiter::{CallKind, Limiter, Rates},
+    client::{unexpected, Answer, StoreClient},
+    limiter::{CallKind, Rates},
 };
 
-/// Size of the HTTP head of a call or its answer, in bytes, about.
-const HEAD_BYTES: u64 = 300;
 /// Longest wait for the answer to a call other than a watch.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time beyond a watch's own timeout after which it counts as unanswered.
 const WATCH_GRACE: Duration = Duration::from_secs(2);
-/// Largest answer that is read, in bytes: one value, or a listing.
-const ANSWER_MAX_BYTES: u64 = 16 << 20;
 
-/// Client of the platform at one address. Cheap to clone; all clones share
-/// one connection pool and one limiter.
+/// The platform behind its own HTTP interface. Cheap to clone; all clones share
+/// one client.
 #[derive(Clone, Debug)]
 pub struct HttpPlatform {
-    http: Client,
-    addr: Arc<str>,
-    limiter: Arc<Limiter>,
-}
-
-/// An answer of the platform.
-struct Answer {
-    status: u16,
-    text: String,
+    client: StoreClient,
 }
 
 #[derive(Deserialize)]
@@ -71,33 +58,28 @@
     /// Makes a client whose calls keep within `rates`.
     pub fn with_rates(addr: &str, rates: Rates) -> Self {
         Self {
-            http: Client::new(ClientConfig::default().with_nodelay(true)),
-            addr: addr.into(),
-            limiter: Arc::new(Limiter::new(rates)),
+            client: StoreClient::new(addr, rates),
         }
     }
 
     fn request(&self, method: Method, path: &str) -> Conn {
-        self.http
-            .build_conn(method, format!("http://{}{path}", self.addr))
+        self.client.request(method, path)
     }
 
-    /// Makes one call within the limits and counts it.
+    /// Makes one call; statuses with one meaning for all calls are errors.
     async fn call(
         &self,
         kind: CallKind,
         conn: Conn,
         timeout: Duration,
     ) -> Result<Answer, StoreError> {
-        self.limiter.acquire(kind).await?;
-        let late = async {
-            smol::Timer::after(timeout).await;
-            let waited_ms = timeout.as_millis();
-            Err(StoreError::Unsure(format!("nothing within {waited_ms} ms")))
-        };
-        let answer = exchange(conn).or(late).await;
-        count_call(kind, &answer);
-        answer
+        let answer = self.client.call(kind, conn, timeout).await?;
+        match answer.status {
+            412 => Err(StoreError::Conflict),
+            429 | 503 => Err(StoreError::Refused(format!("status {}", answer.status))),
+            500.. => Err(unexpected(answer.status)),
+            _ => Ok(answer),
+        }
     }
 }
 
@@ -108,7 +90,7 @@
             let answer = self.call(CallKind::Get, conn, CALL_TIMEOUT).await?;
             match answer.status {
                 404 => Ok(None),
-                _ => answer.object().map(Some),
+                _ => object_of(&answer).map(Some),
             }
         })
     }
@@ -184,7 +166,7 @@
                 .await?;
             match answer.status {
                 204 | 404 => Ok(None),
-                _ => answer.object().map(Some),
+                _ => object_of(&answer).map(Some),
             }
         })
     }
@@ -216,56 +198,9 @@
     }
 }
 
-impl Answer {
-    fn body<T: DeserializeOwned>(&self) -> Result<T, StoreError> {
-        if self.status != 200 {
-            return Err(unexpected(self.status));
-        }
-        serde_json::from_str(&self.text)
-            .map_err(|error| StoreError::Unsure(format!("unreadable answer: {error}")))
-    }
-
-    fn object(&self) -> Result<Object, StoreError> {
-        let ObjectBody { version, value } = self.body()?;
-        Ok(Object { version, value })
-    }
-}
-
-async fn exchange(conn: Conn) -> Result<Answer, StoreError> {
-    let mut conn = conn.await.map_err(|error| transport_error(&error))?;
-    let status = conn.status().map_or(0, |status| status as u16);
-    let body = conn.response_body().with_max_len(ANSWER_MAX_BYTES);
-    let text = body
-        .read_string()
-        .await
-        .map_err(|error| StoreError::Unsure(error.to_string()))?;
-    match status {
-        412 => Err(StoreError::Conflict),
-        429 | 503 => Err(StoreError::Refused(format!("status {status}"))),
-        500.. => Err(unexpected(status)),
-        _ => Ok(Answer { status, text }),
-    }
-}
-
-/// Tells a failed connect, before which no byte was sent, from a broken exchange.
-fn transport_error(error: &trillium_http::Error) -> StoreError {
-    let reason = error.to_string();
-    match error {
-        trillium_http::Error::Io(io) if io.kind() == ErrorKind::ConnectionRefused => {
-            StoreError::Refused(reason)
-        }
-        _ => StoreError::Unsure(reason),
-    }
-}
-
-/// A status that the platform's interface does not name: below 500 the call
-/// was turned away, from 500 on it may have taken effect.
-fn unexpected(status: u16) -> StoreError {
-    let reason = format!("unexpected status {status}");
-    match status {
-        400..=499 => StoreError::Refused(reason),
-        _ => StoreError::Unsure(reason),
-    }
+fn object_of(answer: &Answer) -> Result<Object, StoreError> {
+    let ObjectBody { version, value } = answer.body()?;
+    Ok(Object { version, value })
 }
 
 fn with_condition(conn: Conn, condition: Condition) -> Conn {
@@ -297,18 +232,3 @@
     }
     segment
 }
-
-fn count_call(kind: CallKind, answer: &Result<Answer, StoreError>) {
-    let outcome = match answer {
-        Ok(_) => "answered",
-        Err(StoreError::Conflict) => "conflict",
-        Err(StoreError::Refused(_) | StoreError::TooLarge { .. }) => "refused",
-        Err(StoreError::Unsure(_)) => "unsure",
-    };
-    metrics::counter!("limpetgw_platform_calls_total", "call" => kind.as_str(), "outcome" => outcome)
-        .increment(1);
-    let body_bytes = answer.as_ref().map_or(0, |answer| answer.text.len());
-    metrics::counter!("limpetgw_control_bytes_total", "direction" => "received")
-        .increment(HEAD_BYTES + body_bytes as u64);
-    metrics::counter!("limpetgw_control_bytes_total", "direction" => "sent").increment(HEAD_BYTES);
-}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,9 +1,10 @@
 //! Client of the platform: its object API and its instance list.
 //!
-//! The rest of the system sees the two traits only, so that the users' own
-//! platform is one adapter and tests can pass a fake.
+//! The rest of the system sees the two traits only, so that tests can pass a
+//! fake. Adapters to other platforms make their calls through [`StoreClient`].
 
 mod api;
+mod client;
 mod http;
 mod limiter;
 
@@ -11,5 +12,6 @@
     BoxFuture, Condition, Instance, InstanceList, InstanceSource, InstanceState, Key, Listed,
     Object, ObjectStore, Role, StoreError,
 };
+pub use client::{unexpected, Answer, StoreClient};
 pub use http::HttpPlatform;
-pub use limiter::{Bucket, Rates};
+pub use limiter::{Bucket, CallKind, Rates};
--- a/crates/store/src/limiter.rs
+++ b/crates/store/src/limiter.rs
@@ -15,12 +15,18 @@
 
 /// What a call does, for limits and counters.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum CallKind {
+pub enum CallKind {
+    /// Reads an object.
     Get,
+    /// Writes an object.
     Put,
+    /// Deletes an object.
     Delete,
+    /// Lists a kind.
     List,
+    /// Waits for changes.
     Watch,
+    /// Lists instances, or waits for changes of the list.
     Instances,
 }
 
--- a/crates/telemetry/src/events/mod.rs
+++ b/crates/telemetry/src/events/mod.rs
@@ -1,15 +1,18 @@
 //! The numbered events, one module for each part of the system.
 //!
-//! Numbers: 1000 entry, 2000 agent, 3000 shared state, 4000 operator commands.
+//! Numbers: 1000 entry, 2000 agent, 3000 shared state, 4000 operator
+//! commands, 5000 gateway.
 
 mod agent;
 mod entry;
+mod gateway;
 mod macros;
 mod operator;
 mod state;
 
 pub use agent::AgentEvent;
 pub use entry::EntryEvent;
+pub use gateway::GatewayEvent;
 pub use operator::OperatorEvent;
 pub use state::StateEvent;
 
@@ -49,6 +52,7 @@
         AgentEvent::SPECS,
         StateEvent::SPECS,
         OperatorEvent::SPECS,
+        GatewayEvent::SPECS,
     ];
     parts.into_iter().flatten().collect()
 }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -5,8 +5,10 @@
 
 pub mod events;
 mod log_setup;
+mod log_writer;
 mod metrics_setup;
 
 pub use events::{emit, Event, EventSpec};
-pub use log_setup::{init_log, LogFormat, LogSetupError};
+pub use log_setup::{init_log, LogFormat, LogOutput, LogSetupError};
+pub use log_writer::flush_log;
 pub use metrics_setup::{init_metrics, render_metrics};
--- a/crates/telemetry/src/log_setup.rs
+++ b/crates/telemetry/src/log_setup.rs
@@ -5,7 +5,7 @@
     time::{SystemTime, UNIX_EPOCH},
 };
 
-use crate::events::EVENT_TARGET;
+use crate::{events::EVENT_TARGET, log_writer::LogWriter};
 
 /// Form of the log lines.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -17,23 +17,44 @@
     Text,
 }
 
+/// Where the log lines go.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogOutput {
+    /// To standard error, each as it is logged.
+    #[default]
+    Stderr,
+    /// To standard output, in the background.
+    Stdout,
+}
+
 /// The log could not be set up.
 #[derive(Debug, thiserror::Error)]
 #[error("the log is already set up")]
 pub struct LogSetupError;
 
-/// Sends log lines to standard error.
+/// Sends log lines to `output`.
 ///
 /// # Errors
 ///
 /// [`LogSetupError`] when the process has a logger already.
-pub fn init_log(format: LogFormat, level: log::LevelFilter) -> Result<(), LogSetupError> {
+pub fn init_log(
+    output: LogOutput,
+    format: LogFormat,
+    level: log::LevelFilter,
+) -> Result<(), LogSetupError> {
+    // The line's end goes with the line: one system call for each.
+    let output = match output {
+        LogOutput::Stderr => fern::Output::stderr(""),
+        LogOutput::Stdout => {
+            let writer = LogWriter::start(std::io::stdout());
+            fern::Output::call(move |record| writer.write(record.args().to_string()))
+        }
+    };
     let dispatch = fern::Dispatch::new()
         .level(log::LevelFilter::Warn)
         .level_for(EVENT_TARGET, level)
         .level_for("limpetgw", level)
-        // The line's end goes with the line: one system call for each.
-        .chain(fern::Output::stderr(""));
+        .chain(output);
     let dispatch = match format {
         LogFormat::Json => dispatch.format(|out, message, record| {
             out.finish(format_args!("{}\n", json_line(message, record)))
