--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -112,6 +112,10 @@
         // The balancer sends new connections until it has asked for readiness.
         let lag = settings.balancer_lag.min(until);
         smol::Timer::after(lag).await;
+        // Closes the listener and kept connections that are idle: a request
+        // taken later might not end within the grace period. Not awaited, as
+        // a connection that lasts would hold up the end.
+        drop(self.callers.shut_down());
         let mut waited = lag;
         while app.lifecycle.in_flight() > 0 && waited < until {
             smol::Timer::after(DRAIN_CHECK_INTERVAL).await;
@@ -121,8 +125,6 @@
             instance: settings.instance.clone(),
             in_flight: app.lifecycle.in_flight(),
         });
-        // Not awaited: a connection that lasts would hold up the end.
-        drop(self.callers.shut_down());
         drop(self.operator.shut_down());
         smol::Timer::after(DRAIN_CHECK_INTERVAL).await;
     }
