Do not give a stream up for being late

Cause: a stream without its first event after twice its target was abandoned for another instance or a 502.

Ruled out: lack of capacity (15.5M tokens without the repeats are 43 % of what the engines read in that time). Now only an instance that is silent altogether for 1.2 s is left.

--- a/crates/gateway/src/attempt/session.rs
+++ b/crates/gateway/src/attempt/session.rs
@@ -10,7 +10,7 @@
 use policy::placement::Placement;
 use rand::RngExt;
 use telemetry::{emit, events::GatewayEvent};
-use types::{ErrorCode, InstanceId, Verdict};
+use types::{ErrorCode, InstanceId, TimeMs, Verdict};
 
 use super::exchange::{Exchange, Flight};
 use crate::{
@@ -43,11 +43,14 @@
 const CONNECTIONS_MIN: u32 = 8;
 
 /// Silence of an instance after which a request that may run again goes
-/// elsewhere. Busy engines give an event of some stream every few ms.
-const SILENCE_MS: u64 = 700;
-
-/// Multiple of a route's target after which a repeatable request without an
-/// answer goes elsewhere even if its instance is alive.
+/// elsewhere. A busy engine gives an event of some stream every few ms, but
+/// this entry may have no stream there while others fill its queue; callers
+/// give up on a stream after two seconds or more.
+const SILENCE_MS: u64 = 1_200;
+
+/// Multiple of a route's target after which a whole answer is asked for
+/// elsewhere even if its instance is alive. Streams are never given up for
+/// being late: their prompt would be read once more in a full queue.
 const PATIENCE_TARGETS: u32 = 2;
 
 /// Shortest patience with an instance that is alive.
@@ -389,8 +392,7 @@
     /// Ends when the request should not wait for this instance any more.
     async fn out_of_patience(&self, instance: &InstanceId) -> Result<Received, Broken> {
         let sent_at = self.app.now();
-        let patience = (self.request.route.target * PATIENCE_TARGETS).max(PATIENCE_MIN);
-        let patience_ms = patience.as_millis() as u64;
+        let patience_ms = self.patience_ms();
         loop {
             let now = self.app.now();
             let remaining = self.request.remaining(now);
@@ -398,21 +400,38 @@
             if remaining.is_zero() {
                 return Err(Broken::failed("no answer before the request's deadline"));
             }
-            let is_silent = self.app.with_placer(&self.request.upstream, |placer| {
-                placer.is_silent(now, instance, SILENCE_MS)
-            });
-            let is_overdue = waited_ms >= patience_ms || (is_silent && waited_ms >= SILENCE_MS);
+            let is_overdue = waited_ms >= patience_ms
+                || (waited_ms >= SILENCE_MS && self.is_silent(now, instance, SILENCE_MS));
             if is_overdue && self.has_alternative() {
-                return Err(Broken::failed("no answer in time; another instance is asked"));
+                return Err(Broken::failed(
+                    "no answer in time; another instance is asked",
+                ));
             }
-            let next_ms = match waited_ms < patience_ms.min(SILENCE_MS) {
-                true => patience_ms.min(SILENCE_MS) - waited_ms,
-                false => SILENCE_MS / 2,
+            let next_ms = match patience_ms.min(SILENCE_MS) {
+                first_ms if waited_ms < first_ms => first_ms - waited_ms,
+                _ => SILENCE_MS / 4,
             };
-            smol::Timer::after(remaining.min(Duration::from_millis(next_ms.max(1)))).await;
+            smol::Timer::after(remaining.min(Duration::from_millis(next_ms))).await;
+        }
+    }
+
+    /// Longest wait for an instance that is alive, in milliseconds.
+    fn patience_ms(&self) -> u64 {
+        match self.request.route.form {
+            AnswerForm::Events { .. } => u64::MAX,
+            AnswerForm::Whole => {
+                let patience = self.request.route.target * PATIENCE_TARGETS;
+                patience.max(PATIENCE_MIN).as_millis() as u64
+            }
         }
     }
 
+    fn is_silent(&self, now: TimeMs, instance: &InstanceId, silence_ms: u64) -> bool {
+        self.app.with_placer(&self.request.upstream, |placer| {
+            placer.is_silent(now, instance, silence_ms)
+        })
+    }
+
     /// Whether another attempt would be allowed if this one is given up.
     fn has_alternative(&self) -> bool {
         self.attempts < self.request.route.attempts_max
@@ -422,13 +441,9 @@
 
     /// Whether a stream may be taken away from an instance that went silent.
     pub(crate) fn may_leave_silent(&self, exchange: &Exchange, stall: Duration) -> bool {
-        let now = self.app.now();
         let stall_ms = stall.as_millis() as u64;
-        let instance = &exchange.flight.instance;
         self.may_resume_if(self.has_alternative())
-            && self.app.with_placer(&self.request.upstream, |placer| {
-                placer.is_silent(now, instance, stall_ms)
-            })
+            && self.is_silent(self.app.now(), &exchange.flight.instance, stall_ms)
     }
 
     fn may_resume_if(&self, allowed: bool) -> bool {
