--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -22,9 +22,10 @@
 /// First pause after a failed call; doubles with each.
 const BACKOFF_MIN: Duration = Duration::from_millis(100);
 
-/// Longest pause after a failed call: short against the time in which
-/// processes have to be in touch after an outage (3 s).
-const BACKOFF_MAX: Duration = Duration::from_millis(800);
+/// Longest pause after a failed call. With its jitter and the time-out of a
+/// list it stays below 2 s: processes have to be in touch 3 s after the end of
+/// an outage, and one in which calls get no answer ends within some call.
+const BACKOFF_MAX: Duration = Duration::from_millis(400);
 
 /// What a follower hands on.
 pub(crate) enum Update<T> {
@@ -67,7 +68,11 @@
                 pace.on_answer();
                 revision = None;
             }
-            Err(error) => pace.on_error(&error).await,
+            Err(error) => {
+                // A list needs no wait, so its time-out can be short.
+                revision = None;
+                pace.on_error(&error).await;
+            }
         }
     }
 }
