Read settings again on SIGHUP and when the file changes

Settings that may change now come from a file made from deploy/gateway.json, read at the start, on SIGHUP and every 2 s; a bad one changes nothing.

Ruled out: a crash (the log of the process simply ends at the signal).

--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -18,7 +18,7 @@
 };
 use types::{InstanceId, TimeMs, UpstreamName};
 
-use crate::{dialect::Dialect, routing::Routing, upstream::Pool, Settings};
+use crate::{dialect::Dialect, live::LiveSettings, routing::Routing, upstream::Pool, Settings};
 
 /// The instances that requests may be placed on, as of one roster.
 #[derive(Debug, Default)]
@@ -38,6 +38,7 @@
 /// State of one gateway.
 pub(crate) struct App {
     pub(crate) settings: Settings,
+    pub(crate) live: ArcSwap<LiveSettings>,
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) routing: ArcSwap<Routing>,
     pub(crate) view: ArcSwap<View>,
@@ -55,6 +56,7 @@
 impl App {
     pub(crate) fn new(settings: Settings, dialect: Arc<dyn Dialect>) -> Self {
         Self {
+            live: ArcSwap::from_pointee(settings.live),
             settings,
             dialect,
             routing: ArcSwap::default(),
@@ -113,12 +115,20 @@
     ) -> T {
         let mut budgets = lock(&self.budgets);
         let budget = budgets.entry(upstream.clone()).or_insert_with(|| {
-            let bound = &self.settings.retry_bound;
+            let bound = self.live.load().retry_bound;
             WindowBudget::new(bound.ratio, bound.allowance, bound.window_ms)
         });
         change(budget)
     }
 
+    /// Takes over a changed retry bound; attempts made so far stay counted.
+    pub(crate) fn on_retry_bound_changed(&self) {
+        let bound = self.live.load().retry_bound;
+        for budget in lock(&self.budgets).values_mut() {
+            budget.set_bound(bound.ratio, bound.allowance, bound.window_ms);
+        }
+    }
+
     /// Takes over the roster and the configuration for new requests.
     pub(crate) fn refresh_view(&self) -> Arc<View> {
         let (revision, usable) = {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod follow;
 mod guard;
 mod headers;
+mod live;
 mod request;
 pub mod routing;
 mod serve;
@@ -24,6 +25,7 @@
 
 pub use dialect::{AnswerMeta, Dialect, RequestMeta, SendMeta};
 pub use feed::{Entry, Feed, Listing, Watched};
+pub use live::{read_file, FileError, FileSettings, LiveSettings};
 pub use server::{serve_callers, DrainHandle, Parts, Running};
 pub use settings::{RetryBound, Settings};
 
@@ -55,6 +57,9 @@
         let watch = net::watch_signal(signal, move || handle.drain()).map_err(RunError::Signal)?;
         async_global_executor::spawn(watch).detach();
     }
+    let watch = net::watch_signal(signal_hook::consts::SIGHUP, running.reread_at_signal())
+        .map_err(RunError::Signal)?;
+    async_global_executor::spawn(watch).detach();
     running.finished().await;
     Ok(())
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -11,7 +11,7 @@
 use trillium_smol::async_net::TcpListener;
 
 use crate::{
-    app::App, dialect::Dialect, feed::Feed, guard::CallerGuard, routing::Routing, serve, state,
+    app::App, dialect::Dialect, feed::Feed, guard::CallerGuard, live, routing::Routing, serve, state,
     RunError, Settings,
 };
 
@@ -73,6 +73,7 @@
     let (callers_socket, addr) = bind(settings.listen)?;
     let (operator_socket, operator_addr) = bind(settings.operator_listen)?;
     let app = Arc::new(App::new(settings, parts.dialect));
+    live::reread(&app, false);
     emit(&GatewayEvent::GatewayListening {
         instance: app.settings.instance.clone(),
         zone: app.settings.zone.to_string(),
@@ -83,6 +84,7 @@
     async_global_executor::spawn(state::follow_routing(app.clone(), parts.routing)).detach();
     async_global_executor::spawn(state::follow_roster(app.clone(), parts.roster)).detach();
     async_global_executor::spawn(state::tidy(app.clone())).detach();
+    async_global_executor::spawn(live::reread_now_and_then(app.clone())).detach();
     let callers = spawn(callers_socket, &app, callers_handler(app.clone()));
     let operator = spawn(operator_socket, &app, operator_handler(app.clone()));
     Ok(Running {
@@ -102,13 +104,19 @@
         }
     }
 
+    /// Reads the settings file again.
+    pub(crate) fn reread_at_signal(&self) -> impl Fn() + Send + 'static {
+        let app = self.app.clone();
+        move || live::reread(&app, true)
+    }
+
     /// Returns once a shutdown was started and the last request has ended, or
     /// the grace period has.
     pub async fn finished(self) {
         let app = &self.app;
         app.lifecycle.drain_begun().await;
         let settings = &app.settings;
-        let until = settings.grace.saturating_sub(GRACE_MARGIN);
+        let until = app.live.load().grace.saturating_sub(GRACE_MARGIN);
         // The balancer sends new connections until it has asked for readiness.
         let lag = settings.balancer_lag.min(until);
         smol::Timer::after(lag).await;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,9 +1,11 @@
 //! Settings of the gateway role, checked by the command line.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
 use types::{InstanceId, ZoneName};
 
+use crate::live::LiveSettings;
+
 /// Bound on attempts beyond the first, for all entries together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryBound {
@@ -28,10 +30,10 @@
     pub operator_listen: SocketAddr,
     /// Address of the platform's store, for logs.
     pub store_addr: Arc<str>,
-    /// Bound on attempts beyond the first.
-    pub retry_bound: RetryBound,
-    /// Time from the stop signal until the process is killed.
-    pub grace: Duration,
+    /// What may change while the process runs, as the flags say.
+    pub live: LiveSettings,
+    /// File whose values go before the flags.
+    pub file: Option<PathBuf>,
     /// Time for which the balancer may still send new connections after the
     /// process has stopped being ready.
     pub balancer_lag: Duration,
--- a/crates/limpetgw/src/cli/gateway.rs
+++ b/crates/limpetgw/src/cli/gateway.rs
@@ -1,9 +1,9 @@
 //! `limpetgw gateway`.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use clap::Args;
-use gateway::RetryBound;
+use gateway::{LiveSettings, RetryBound};
 
 use super::{
     common::{checked_addr, ProcessArgs},
@@ -52,6 +52,11 @@
     /// stopped being ready, in milliseconds.
     #[arg(long, env = "LIMPETGW_BALANCER_LAG_MS", default_value_t = 2_500, value_parser = clap::value_parser!(u64).range(0..=600_000))]
     balancer_lag_ms: u64,
+    /// JSON file with `retry_ratio`, `retry_allowance`, `retry_window_s` and
+    /// `grace_s`, which go before the flags. It is read again on SIGHUP and
+    /// every two seconds.
+    #[arg(long, env = "LIMPETGW_CONFIG")]
+    settings_file: Option<PathBuf>,
     #[command(flatten)]
     process: ProcessArgs,
 }
@@ -72,12 +77,15 @@
             .listen(self.listen)
             .operator_listen(self.operator_listen)
             .store_addr(store_addr.clone())
-            .retry_bound(RetryBound {
-                ratio: self.retry_ratio,
-                allowance: self.retry_allowance,
-                window_ms: (self.retry_window_s * MS_PER_S) as u64,
+            .live(LiveSettings {
+                retry_bound: RetryBound {
+                    ratio: self.retry_ratio,
+                    allowance: self.retry_allowance,
+                    window_ms: (self.retry_window_s * MS_PER_S) as u64,
+                },
+                grace: Duration::from_secs_f64(self.grace_s),
             })
-            .grace(Duration::from_secs_f64(self.grace_s))
+            .maybe_file(self.settings_file.clone())
             .balancer_lag(Duration::from_millis(self.balancer_lag_ms))
             .build();
         self.process.start(telemetry::LogOutput::Stdout);
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -131,11 +131,25 @@
     /// Makes a budget from the bound for all entries: `ratio` repeats for each
     /// request and `allowance` more, within `window_ms`.
     pub fn new(ratio: f64, allowance: f64, window_ms: u64) -> Self {
-        Self {
-            ratio: ratio * Self::SHARE_OF_RATIO,
-            allowance: allowance / Self::ENTRIES_ASSUMED,
-            span_ms: (window_ms / Self::SPANS).max(1),
+        let mut budget = Self {
+            ratio: 0.0,
+            allowance: 0.0,
+            span_ms: 1,
             spans: VecDeque::new(),
+        };
+        budget.set_bound(ratio, allowance, window_ms);
+        budget
+    }
+
+    /// Changes the bound. Attempts stay counted unless the window's length has
+    /// changed, which starts a new count.
+    pub fn set_bound(&mut self, ratio: f64, allowance: f64, window_ms: u64) {
+        self.ratio = ratio * Self::SHARE_OF_RATIO;
+        self.allowance = allowance / Self::ENTRIES_ASSUMED;
+        let span_ms = (window_ms / Self::SPANS).max(1);
+        if span_ms != self.span_ms {
+            self.span_ms = span_ms;
+            self.spans.clear();
         }
     }
 
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -184,6 +184,9 @@
             signalled: bool,
             /// Whether anything has changed.
             changed: bool,
-        } = "The settings file was read again.", "Nothing.";
+            /// Why it can't be used, empty if it can.
+            error: String,
+        } = "The settings file was read again; one that can't be used changes nothing.",
+            "Mend the file if there is an error.";
     }
 }
