Count reading a shared part again as time taken from others

The cost of an instance now adds twice the time that such reading takes from other requests there, and the second home no longer counts as half cached.

Ruled out: evictions (the homes' parts and running requests are about half of an engine's memory).

--- a/crates/policy/src/placement/instance.rs
+++ b/crates/policy/src/placement/instance.rs
@@ -77,9 +77,6 @@
     /// Time in which an observed excess halves without news, in milliseconds:
     /// about as long as a queue of prompts takes to clear.
     const EXCESS_HALF_LIFE_MS: f64 = 800.0;
-    /// Share of a prompt's shared part that its second home counts as keeping:
-    /// a popular prompt spreads there before it goes anywhere else.
-    const SECOND_HOME_SHARE: f64 = 0.5;
     /// Avoidance after the second failure in a row, in milliseconds; doubles
     /// with each.
     const AVOID_MS: u64 = 250;
@@ -129,11 +126,17 @@
         let all: u32 = shared.iter().map(|part| part.tokens).sum();
         match home_rank {
             0 => all,
-            1 => known.max((f64::from(all) * Self::SECOND_HOME_SHARE) as u32),
             _ => known,
         }
     }
 
+    /// Time that reading shared parts here would take from other requests,
+    /// though their home has them already, in milliseconds.
+    pub(super) fn wasted_ms(&self, demand: &Demand, cached_tokens: u32) -> f64 {
+        let shared: u32 = demand.shared().iter().map(|part| part.tokens).sum();
+        f64::from(shared.saturating_sub(cached_tokens)) / Self::READ_TOKENS_PER_MS
+    }
+
     /// Time until the first event of a request sent now, in milliseconds.
     pub(super) fn predicted_ms(&self, now: TimeMs, demand: &Demand, cached_tokens: u32) -> f64 {
         let running = f64::from(self.in_flight);
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -99,6 +99,10 @@
     /// Relative advantage below which the better home is kept, so that small
     /// differences do not scatter a prompt over the instances.
     const HOME_BONUS_MS: f64 = 4.0;
+    /// Weight of the time that reading a part again takes from others, against
+    /// the request's own wait. Every request of a full instance waits for it,
+    /// so it counts more than once.
+    const WASTE_WEIGHT: f64 = 2.0;
 
     /// Takes over the members as they are now.
     pub fn set_members(&mut self, members: &[Placeable]) {
@@ -146,7 +150,9 @@
             let home_rank = ranks[index];
             let cached_tokens = tracked.cached_tokens(now, demand, home_rank);
             let predicted_ms = tracked.predicted_ms(now, demand, cached_tokens);
-            let cost = predicted_ms + Self::HOME_BONUS_MS * home_rank.min(2) as f64;
+            let cost = predicted_ms
+                + Self::WASTE_WEIGHT * tracked.wasted_ms(demand, cached_tokens)
+                + Self::HOME_BONUS_MS * home_rank.min(2) as f64;
             if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
                 let placement = Placement {
                     instance: instance.clone(),
