--- a/crates/gateway/src/attempt/exchange.rs
+++ b/crates/gateway/src/attempt/exchange.rs
@@ -49,16 +49,18 @@
     /// Notes a sign of life.
     fn on_heard(&self) {
         let now = self.app.now();
-        self.app
-            .with_placer(&self.upstream, |placer| placer.on_heard(now, &self.instance));
+        self.app.with_placer(&self.upstream, |placer| {
+            placer.on_heard(now, &self.instance)
+        });
     }
 }
 
 impl Drop for Flight {
     fn drop(&mut self) {
         let ticket = std::mem::take(&mut self.ticket);
-        self.app
-            .with_placer(&self.upstream, |placer| placer.on_end(&self.instance, ticket));
+        self.app.with_placer(&self.upstream, |placer| {
+            placer.on_end(&self.instance, ticket)
+        });
     }
 }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -11,8 +11,8 @@
 use trillium_smol::async_net::TcpListener;
 
 use crate::{
-    app::App, dialect::Dialect, feed::Feed, guard::CallerGuard, live, routing::Routing, serve, state,
-    RunError, Settings,
+    app::App, dialect::Dialect, feed::Feed, guard::CallerGuard, live, routing::Routing, serve,
+    state, RunError, Settings,
 };
 
 /// Largest request head that is read at all, in bytes. Heads between the
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -127,8 +127,13 @@
 
 fn count_call(kind: CallKind, answer: &Result<Answer, StoreError>) {
     let outcome = match answer {
-        Ok(Answer { status: 409 | 412, .. }) | Err(StoreError::Conflict) => "conflict",
-        Ok(Answer { status: 429 | 503, .. }) => "refused",
+        Ok(Answer {
+            status: 409 | 412, ..
+        })
+        | Err(StoreError::Conflict) => "conflict",
+        Ok(Answer {
+            status: 429 | 503, ..
+        }) => "refused",
         Ok(Answer { status: 500.., .. }) => "unsure",
         Ok(_) => "answered",
         Err(StoreError::Refused(_) | StoreError::TooLarge { .. }) => "refused",
