Rank requests by team first and by route among equal teams

Ruled out: placement (no instance had more than 1.22 of the mean) and lost arrivals. The rank is now the pair, team before route.

--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -84,11 +84,16 @@
 pub struct Team {
     /// Its name.
     pub name: TeamName,
-    /// Goes before the priority of the route.
+    /// Goes before the priority of the route; requests of one team are ranked
+    /// by their routes.
     pub priority: Option<Priority>,
 }
 
 impl Teams {
+    fn all(&self) -> impl Iterator<Item = &Team> {
+        self.by_key.values().map(AsRef::as_ref)
+    }
+
     /// Adds a team with its keys.
     pub fn add(&mut self, team: Team, keys: impl IntoIterator<Item = Arc<str>>) {
         let team = Arc::new(team);
@@ -176,6 +181,37 @@
             .find(|route| path.starts_with(route.prefix.as_ref()))
     }
 
+    /// Ranks for which instances have room, from 0 for the most urgent.
+    pub const RANKS: usize = 10;
+
+    /// Rank of a request among all of this configuration, as a priority: by
+    /// its team first, by its route among equal teams. A request without a
+    /// team's priority counts by its route in both.
+    pub fn priority(&self, team: Option<&Team>, route: &Route) -> Priority {
+        let route_levels = levels(self.all_routes().map(|route| route.priority));
+        let teams = self.teams.iter().flat_map(Teams::all);
+        let team_levels = levels(
+            teams
+                .filter_map(|team| team.priority)
+                .chain(route_levels.iter().copied()),
+        );
+        let team_priority = team
+            .and_then(|team| team.priority)
+            .unwrap_or(route.priority);
+        let place = place_in(&team_levels, team_priority) * route_levels.len()
+            + place_in(&route_levels, route.priority);
+        let places = (team_levels.len() * route_levels.len()).max(1);
+        let rank = match places <= Self::RANKS {
+            true => place,
+            false => place * Self::RANKS / places,
+        };
+        Priority(u8::MAX - rank as u8)
+    }
+
+    fn all_routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flatten()
+    }
+
     /// Number of routes.
     pub fn routes(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
@@ -202,3 +238,16 @@
         &self.shares[0].upstream
     }
 }
+
+/// The different priorities, from the highest on.
+fn levels(priorities: impl Iterator<Item = Priority>) -> Vec<Priority> {
+    let mut levels: Vec<Priority> = priorities.collect();
+    levels.sort_by_key(|priority| std::cmp::Reverse(*priority));
+    levels.dedup();
+    levels
+}
+
+fn place_in(levels: &[Priority], priority: Priority) -> usize {
+    let place = levels.iter().position(|level| *level <= priority);
+    place.unwrap_or(levels.len().saturating_sub(1))
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -9,7 +9,7 @@
 use policy::placement::Demand;
 use telemetry::{emit, events::GatewayEvent};
 use trillium::{Body, Conn, Status};
-use types::{ErrorCode, RequestId, TeamName, TimeMs};
+use types::{ErrorCode, RequestId, TimeMs};
 
 use crate::{
     answer::{with_headers, StreamBody},
@@ -19,7 +19,7 @@
     failure::Failure,
     headers,
     request::Request,
-    routing::{Limits, Route, Routing},
+    routing::{Limits, Route, Routing, Team},
 };
 
 /// Deadline of a caller that states none, beside its route's own bound.
@@ -129,7 +129,6 @@
         .deadline
         .unwrap_or(DEADLINE_UNSTATED)
         .min(route.timeout);
-    let team_priority = team.as_ref().and_then(|(_, priority)| *priority);
     Ok(Request {
         request_id,
         method,
@@ -137,8 +136,8 @@
         headers: headers::end_to_end(headers),
         body,
         upstream: route.draw_upstream(rand::random()).clone(),
-        priority: team_priority.unwrap_or(route.priority),
-        team: team.map(|(name, _)| name),
+        priority: config.priority(team.as_deref(), &route),
+        team: team.map(|team| team.name.clone()),
         route,
         demand: Demand {
             parts: meta.parts,
@@ -177,15 +176,18 @@
     })
 }
 
-type Identified = Option<(TeamName, Option<types::Priority>)>;
-
-fn identify(meta: &RequestMeta, route: &Route, config: &Routing) -> Result<Identified, Failure> {
+/// The caller's team; none if the route or the configuration asks for no key.
+fn identify(
+    meta: &RequestMeta,
+    route: &Route,
+    config: &Routing,
+) -> Result<Option<Arc<Team>>, Failure> {
     let Some(teams) = &config.teams else {
         return Ok(None);
     };
     let team = meta.api_key.as_ref().and_then(|key| teams.of_key(key));
     match team {
-        Some(team) => Ok(Some((team.name.clone(), team.priority))),
+        Some(team) => Ok(Some(team.clone())),
         None if route.public => Ok(None),
         None => Err(Failure::not_run(
             ErrorCode::InvalidApiKey,
