--- a/crates/policy/src/placement/instance.rs
+++ b/crates/policy/src/placement/instance.rs
@@ -2,7 +2,7 @@
 
 use types::TimeMs;
 
-use super::{cache::KnownParts, lateness::Lateness, Demand, Placeable, Placement};
+use super::{cache::KnownParts, Demand, Placeable, Placement};
 
 /// What an instance offers.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -45,7 +45,9 @@
     reading_tokens: f64,
     /// Memory of own requests there.
     memory_tokens: f64,
-    lateness: Lateness,
+    /// How much later than predicted first events came lately.
+    excess_ms: f64,
+    excess_at: TimeMs,
     parts: KnownParts,
     failures: u32,
     avoid_until: TimeMs,
@@ -70,11 +72,11 @@
     /// Time that a request waits when the memory is full, in milliseconds:
     /// about what a running one takes to end.
     const MEMORY_WAIT_MS: f64 = 700.0;
-    /// Weight of a new observation of the lateness.
-    const LATENESS_WEIGHT: f64 = 0.3;
-    /// Time after which an observed lateness counts half, in milliseconds:
+    /// Weight of a new observation of the excess.
+    const EXCESS_WEIGHT: f64 = 0.3;
+    /// Time in which an observed excess halves without news, in milliseconds:
     /// about as long as a queue of prompts takes to clear.
-    const LATENESS_HALF_LIFE_MS: f64 = 800.0;
+    const EXCESS_HALF_LIFE_MS: f64 = 800.0;
     /// Avoidance after the second failure in a row, in milliseconds; doubles
     /// with each.
     const AVOID_MS: u64 = 250;
@@ -92,7 +94,8 @@
             awaited: 0,
             reading_tokens: 0.0,
             memory_tokens: 0.0,
-            lateness: Lateness::default(),
+            excess_ms: 0.0,
+            excess_at: TimeMs(0),
             parts: KnownParts::default(),
             failures: 0,
             avoid_until: TimeMs(0),
@@ -135,16 +138,7 @@
     }
 
     /// Time until the first event of a request sent now, in milliseconds.
-    ///
-    /// `usual_lateness_ms` stands for an instance of which nothing was seen
-    /// lately: it is as full as the others, not empty.
-    pub(super) fn predicted_ms(
-        &self,
-        now: TimeMs,
-        demand: &Demand,
-        cached_tokens: u32,
-        usual_lateness_ms: f64,
-    ) -> f64 {
+    pub(super) fn predicted_ms(&self, now: TimeMs, demand: &Demand, cached_tokens: u32) -> f64 {
         let running = f64::from(self.in_flight);
         let expected_ms = match self.capacity {
             Capacity::Service { slots } => {
@@ -169,16 +163,10 @@
                 Self::FIRST_EVENT_MS + reading_ms + Self::RUNNING_MS * running + wait_ms
             }
         };
-        expected_ms + self.lateness_ms(now, usual_lateness_ms)
+        expected_ms + self.excess_ms(now)
     }
 
-    pub(super) fn on_sent(
-        &mut self,
-        now: TimeMs,
-        demand: &Demand,
-        placed: &Placement,
-        usual_lateness_ms: f64,
-    ) -> Ticket {
+    pub(super) fn on_sent(&mut self, now: TimeMs, demand: &Demand, placed: &Placement) -> Ticket {
         if self.awaited == 0 {
             self.awaited_since = now;
         }
@@ -193,33 +181,26 @@
             incarnation: self.incarnation,
             reading_tokens,
             memory_tokens,
-            predicted_ms: placed.predicted_ms - self.lateness_ms(now, usual_lateness_ms),
+            predicted_ms: placed.predicted_ms - self.excess_ms(now),
             sent_at: now,
             counted: true,
             answered: false,
         }
     }
 
-    /// Returns how much later than predicted it came, in milliseconds.
-    pub(super) fn on_first_event(
-        &mut self,
-        now: TimeMs,
-        ticket: &mut Ticket,
-        usual_lateness_ms: f64,
-    ) -> Option<f64> {
+    pub(super) fn on_first_event(&mut self, now: TimeMs, ticket: &mut Ticket) {
         self.on_heard(now);
         self.failures = 0;
         self.avoid_until = TimeMs(0);
         if !self.counts(ticket) || ticket.answered {
-            return None;
+            return;
         }
         let waited_ms = now.since(ticket.sent_at) as f64;
         let sample_ms = (waited_ms - ticket.predicted_ms).max(0.0);
-        let before_ms = self.lateness_ms(now, usual_lateness_ms);
-        self.lateness
-            .add(now, before_ms, sample_ms, Self::LATENESS_WEIGHT);
+        let before_ms = self.excess_ms(now);
+        self.excess_ms = before_ms + Self::EXCESS_WEIGHT * (sample_ms - before_ms);
+        self.excess_at = now;
         self.settle_reading(ticket);
-        Some(sample_ms)
     }
 
     pub(super) fn on_heard(&mut self, now: TimeMs) {
@@ -288,8 +269,8 @@
         now.since(since) >= silence_ms
     }
 
-    fn lateness_ms(&self, now: TimeMs, usual_ms: f64) -> f64 {
-        self.lateness
-            .get(now, Self::LATENESS_HALF_LIFE_MS, usual_ms)
+    fn excess_ms(&self, now: TimeMs) -> f64 {
+        let age_ms = now.since(self.excess_at) as f64;
+        self.excess_ms * 0.5_f64.powf(age_ms / Self::EXCESS_HALF_LIFE_MS)
     }
 }
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -14,7 +14,6 @@
 mod cache;
 mod home;
 mod instance;
-mod lateness;
 
 use std::sync::Arc;
 
@@ -25,7 +24,6 @@
 
 use home::home_ranks;
 use instance::Tracked;
-use lateness::Lateness;
 
 /// A part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -95,8 +93,6 @@
 #[derive(Debug, Default)]
 pub struct Placer {
     instances: IndexMap<InstanceId, Tracked>,
-    /// Over all instances.
-    lateness: Lateness,
 }
 
 impl Placer {
@@ -104,29 +100,9 @@
     /// differences do not scatter a prompt over the instances.
     const HOME_BONUS_MS: f64 = 4.0;
     /// Weight of the time that reading a part again takes from others, against
-    /// the request's own wait, while instances have time to spare.
+    /// the request's own wait. Every request of a full instance waits for it,
+    /// so it counts more than once.
     const WASTE_WEIGHT: f64 = 2.0;
-    /// Lateness over all instances up to which they count as having time to
-    /// spare, in milliseconds: a prompt or two in the queue.
-    const SPARE_LATENESS_MS: f64 = 100.0;
-    /// Lateness beyond that for which the weight rises by one, in
-    /// milliseconds. Where all instances have queues, leaving the home only
-    /// makes them longer: on the replayed trace 50 to 200 ms served alike.
-    const WASTE_LATENESS_MS: f64 = 100.0;
-
-    /// Weight of one observation in the lateness over all instances: some
-    /// twenty answers set it.
-    const LATENESS_WEIGHT: f64 = 0.08;
-    /// Time after which that lateness counts half without news, in
-    /// milliseconds: longer than that of one instance, which falls back to it.
-    const LATENESS_HALF_LIFE_MS: f64 = 2_000.0;
-
-    /// An observation counts for all instances as at most this multiple of the
-    /// lateness so far and [`Self::OUTLIER_MS`] more, so that one straggler
-    /// does not make all of them seem busy.
-    const OUTLIER_FACTOR: f64 = 2.0;
-    /// See [`Self::OUTLIER_FACTOR`]; in milliseconds.
-    const OUTLIER_MS: f64 = 150.0;
 
     /// Takes over the members as they are now.
     pub fn set_members(&mut self, members: &[Placeable]) {
@@ -165,9 +141,6 @@
         exclude: &[InstanceId],
         usable: impl Fn(&Tracked) -> bool,
     ) -> Option<Placement> {
-        let usual_ms = self.usual_lateness_ms(now);
-        let busy_ms = (usual_ms - Self::SPARE_LATENESS_MS).max(0.0);
-        let waste_weight = Self::WASTE_WEIGHT + busy_ms / Self::WASTE_LATENESS_MS;
         let ranks = home_ranks(self.instances.keys(), demand.shared());
         let mut best: Option<(f64, Placement)> = None;
         for (index, (instance, tracked)) in self.instances.iter().enumerate() {
@@ -176,9 +149,9 @@
             }
             let home_rank = ranks[index];
             let cached_tokens = tracked.cached_tokens(now, demand, home_rank);
-            let predicted_ms = tracked.predicted_ms(now, demand, cached_tokens, usual_ms);
+            let predicted_ms = tracked.predicted_ms(now, demand, cached_tokens);
             let cost = predicted_ms
-                + waste_weight * tracked.wasted_ms(demand, cached_tokens)
+                + Self::WASTE_WEIGHT * tracked.wasted_ms(demand, cached_tokens)
                 + Self::HOME_BONUS_MS * home_rank.min(2) as f64;
             if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
                 let placement = Placement {
@@ -197,29 +170,19 @@
     /// Notes that a request was sent as placed. The ticket is handed back with
     /// [`Placer::on_end`].
     pub fn on_sent(&mut self, now: TimeMs, demand: &Demand, placement: &Placement) -> Ticket {
-        let usual_ms = self.usual_lateness_ms(now);
         let Some(tracked) = self.instances.get_mut(&placement.instance) else {
             return Ticket::default();
         };
-        tracked.on_sent(now, demand, placement, usual_ms)
+        tracked.on_sent(now, demand, placement)
     }
 
     /// Notes the first event, or the head of a plain answer.
     pub fn on_first_event(&mut self, now: TimeMs, instance: &InstanceId, ticket: &mut Ticket) {
-        let usual_ms = self.usual_lateness_ms(now);
-        let tracked = self.instances.get_mut(instance);
-        let sample_ms = tracked.and_then(|tracked| tracked.on_first_event(now, ticket, usual_ms));
-        if let Some(sample_ms) = sample_ms {
-            let capped_ms = sample_ms.min(usual_ms * Self::OUTLIER_FACTOR + Self::OUTLIER_MS);
-            self.lateness
-                .add(now, usual_ms, capped_ms, Self::LATENESS_WEIGHT);
+        if let Some(tracked) = self.instances.get_mut(instance) {
+            tracked.on_first_event(now, ticket);
         }
     }
 
-    fn usual_lateness_ms(&self, now: TimeMs) -> f64 {
-        self.lateness.get(now, Self::LATENESS_HALF_LIFE_MS, 0.0)
-    }
-
     /// Notes a sign of life.
     pub fn on_heard(&mut self, now: TimeMs, instance: &InstanceId) {
         if let Some(tracked) = self.instances.get_mut(instance) {
