--- a/crates/policy/src/placement/instance.rs
+++ b/crates/policy/src/placement/instance.rs
@@ -60,7 +60,7 @@
 impl Tracked {
     /// Prompt tokens that an engine reads in a millisecond, about: the rate of
     /// the engines on the users' sheets.
-    const READ_TOKENS_PER_MS: f64 = 56.0;
+    pub(super) const READ_TOKENS_PER_MS: f64 = 56.0;
     /// Time from the last prompt token read to the first event, in
     /// milliseconds: set-up and a few steps of an idle engine.
     const FIRST_EVENT_MS: f64 = 30.0;
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -14,6 +14,7 @@
 mod cache;
 mod home;
 mod instance;
+mod lanes;
 
 use std::sync::Arc;
 
@@ -24,6 +25,7 @@
 
 use home::home_ranks;
 use instance::Tracked;
+use lanes::{Lanes, Side};
 
 /// A part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,6 +46,9 @@
     pub prompt_tokens: u32,
     /// Tokens that the answer has at most.
     pub output_tokens: u32,
+    /// Longest pause between two events with which a stream is on time, in
+    /// milliseconds; `None` for a whole answer.
+    pub pause_ms: Option<u32>,
 }
 
 impl Demand {
@@ -54,6 +59,20 @@
             None => &[],
         }
     }
+
+    /// Time that an engine spends on the request, in milliseconds, about.
+    fn work_ms(&self) -> f64 {
+        /// Share of requests whose shared parts have to be read.
+        const READ_SHARE: f64 = 0.15;
+        /// Time of an output token, a step of some ten requests, in
+        /// milliseconds.
+        const TOKEN_MS: f64 = 0.35;
+
+        let shared: u32 = self.shared().iter().map(|part| part.tokens).sum();
+        let own = f64::from(self.prompt_tokens.saturating_sub(shared));
+        let to_read = own + READ_SHARE * f64::from(shared);
+        to_read / Tracked::READ_TOKENS_PER_MS + TOKEN_MS * f64::from(self.output_tokens)
+    }
 }
 
 /// An instance that requests may be placed on.
@@ -93,6 +112,7 @@
 #[derive(Debug, Default)]
 pub struct Placer {
     instances: IndexMap<InstanceId, Tracked>,
+    lanes: Lanes,
 }
 
 impl Placer {
@@ -104,6 +124,21 @@
     /// so it counts more than once.
     const WASTE_WEIGHT: f64 = 2.0;
 
+    /// Advantage for which a stream leaves its lane for one of longer pauses,
+    /// in milliseconds: it then pauses as long as the slower streams there.
+    const LOOSER_LANE_MS: f64 = 150.0;
+    /// Advantage for which a request that bears long pauses goes among streams
+    /// that don't, in milliseconds: it slows down all of them.
+    const TIGHTER_LANE_MS: f64 = 1_500.0;
+
+    fn side_ms(side: Side) -> f64 {
+        match side {
+            Side::Own => 0.0,
+            Side::Looser => Self::LOOSER_LANE_MS,
+            Side::Tighter => Self::TIGHTER_LANE_MS,
+        }
+    }
+
     /// Takes over the members as they are now.
     pub fn set_members(&mut self, members: &[Placeable]) {
         let mut before = std::mem::take(&mut self.instances);
@@ -115,6 +150,7 @@
             tracked.set_capacity(member.capacity);
             self.instances.insert(member.instance.clone(), tracked);
         }
+        self.lanes.set_instances(self.instances.keys());
     }
 
     /// Members known.
@@ -141,7 +177,10 @@
         exclude: &[InstanceId],
         usable: impl Fn(&Tracked) -> bool,
     ) -> Option<Placement> {
-        let ranks = home_ranks(self.instances.keys(), demand.shared());
+        let sides: Vec<Side> = (0..self.instances.len())
+            .map(|index| self.lanes.side(index, demand.pause_ms))
+            .collect();
+        let ranks = home_ranks(self.instances.keys(), demand.shared(), &sides);
         let mut best: Option<(f64, Placement)> = None;
         for (index, (instance, tracked)) in self.instances.iter().enumerate() {
             if exclude.contains(instance) || !usable(tracked) {
@@ -152,7 +191,8 @@
             let predicted_ms = tracked.predicted_ms(now, demand, cached_tokens);
             let cost = predicted_ms
                 + Self::WASTE_WEIGHT * tracked.wasted_ms(demand, cached_tokens)
-                + Self::HOME_BONUS_MS * home_rank.min(2) as f64;
+                + Self::HOME_BONUS_MS * home_rank.min(2) as f64
+                + Self::side_ms(sides[index]);
             if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
                 let placement = Placement {
                     instance: instance.clone(),
@@ -170,6 +210,9 @@
     /// Notes that a request was sent as placed. The ticket is handed back with
     /// [`Placer::on_end`].
     pub fn on_sent(&mut self, now: TimeMs, demand: &Demand, placement: &Placement) -> Ticket {
+        if let Some(pause_ms) = demand.pause_ms {
+            self.lanes.note(now, pause_ms, demand.work_ms());
+        }
         let Some(tracked) = self.instances.get_mut(&placement.instance) else {
             return Ticket::default();
         };
