Try a silent instance before leaving it; take the lanes back out

A silent instance is now tried with a new connection, which is kept. A request leaves it if that fails, or if the silence is longer than the lateness of the other instances explains, and only after the attempt was taken from the budget.

Lanes cost more in parts read again than they gain and are taken out.

--- a/crates/gateway/src/answer/stream.rs
+++ b/crates/gateway/src/answer/stream.rs
@@ -15,10 +15,10 @@
 use super::Events;
 use crate::attempt::{Exchange, Session};
 
-/// Pause after which a stream that another instance may go on with is taken
-/// away from an instance that shows no sign of life. Callers give up after two
-/// seconds or more without an event.
-const STALL: Duration = Duration::from_millis(900);
+/// Pause after which, and then how often, a stream looks whether its instance
+/// can still be reached. Callers give up after two seconds or more without an
+/// event.
+const STALL: Duration = Duration::from_millis(600);
 
 /// A stream whose first event has come.
 pub(crate) struct Opened {
@@ -99,8 +99,8 @@
             Poll::Pending => {
                 ready!(Pin::new(&mut self.stall).poll(cx));
                 self.stall = Timer::after(STALL);
-                if session.may_leave_silent(exchange, STALL) {
-                    self.reopen("no event and no other sign of life of the instance");
+                if session.may_leave_stalled(exchange) {
+                    self.reopen("no event, and nobody answers at the instance");
                 }
                 return Poll::Ready(());
             }
--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -5,21 +5,26 @@
         atomic::{AtomicBool, AtomicU64, Ordering},
         Arc, Mutex, MutexGuard,
     },
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use arc_swap::ArcSwap;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use net::Lifecycle;
 use policy::{
     placement::{Capacity, Placeable, Placer},
     retry::WindowBudget,
     roster::{Member, Roster},
 };
+use telemetry::{emit, events::GatewayEvent};
 use types::{InstanceId, TimeMs, UpstreamName};
 
 use crate::{dialect::Dialect, live::LiveSettings, routing::Routing, upstream::Pool, Settings};
 
+/// Time between two tries of one instance: a second one within it would tell
+/// nothing new to streams whose callers wait two seconds or more.
+const PROBE_INTERVAL: Duration = Duration::from_millis(800);
+
 /// The instances that requests may be placed on, as of one roster.
 #[derive(Debug, Default)]
 pub(crate) struct View {
@@ -47,6 +52,8 @@
     pub(crate) lifecycle: Lifecycle,
     placers: Mutex<IndexMap<UpstreamName, Placer>>,
     budgets: Mutex<IndexMap<UpstreamName, WindowBudget>>,
+    /// Instances that are being tried.
+    probing: Mutex<IndexSet<InstanceId>>,
     /// Whether the list of instances has been seen.
     listed: AtomicBool,
     roster_confirmed_at: AtomicU64,
@@ -66,6 +73,7 @@
             lifecycle: Lifecycle::default(),
             placers: Mutex::default(),
             budgets: Mutex::default(),
+            probing: Mutex::default(),
             listed: AtomicBool::new(false),
             roster_confirmed_at: AtomicU64::new(0),
             origin: Instant::now(),
@@ -129,6 +137,35 @@
         }
     }
 
+    /// Tries in the background whether an instance takes connections. That
+    /// proves the machine only, not that its program works; the connection is
+    /// kept for the next request.
+    pub(crate) fn probe(self: &Arc<Self>, upstream: &UpstreamName, instance: &InstanceId) {
+        let Some(addr) = self.view.load().addr(instance).cloned() else {
+            return;
+        };
+        if !lock(&self.probing).insert(instance.clone()) {
+            return;
+        }
+        let (app, upstream, instance) = (self.clone(), upstream.clone(), instance.clone());
+        async_global_executor::spawn(async move {
+            let probed = app.pool.probe(&addr).await;
+            let now = app.now();
+            if probed.is_err() {
+                app.with_placer(&upstream, |placer| placer.on_unreachable(now, &instance));
+            }
+            emit(&GatewayEvent::InstanceProbed {
+                error: probed
+                    .err()
+                    .map_or_else(String::new, |error| error.to_string()),
+                instance: instance.clone(),
+            });
+            smol::Timer::after(PROBE_INTERVAL).await;
+            lock(&app.probing).swap_remove(&instance);
+        })
+        .detach();
+    }
+
     /// Takes over the roster and the configuration for new requests.
     pub(crate) fn refresh_view(&self) -> Arc<View> {
         let (revision, usable) = {
--- a/crates/gateway/src/attempt/session.rs
+++ b/crates/gateway/src/attempt/session.rs
@@ -42,11 +42,13 @@
 /// Connections that one entry may always use.
 const CONNECTIONS_MIN: u32 = 8;
 
-/// Silence of an instance after which a request that may run again goes
-/// elsewhere. A busy engine gives an event of some stream every few ms, but
-/// this entry may have no stream there while others fill its queue; callers
-/// give up on a stream after two seconds or more.
-const SILENCE_MS: u64 = 1_200;
+/// Silence of an instance after which it is tried whether it can be reached
+/// at all. Silence alone proves nothing: with a full queue an engine may not
+/// answer for seconds. Callers give up on a stream after two seconds or more.
+const SILENCE_MS: u64 = 700;
+
+/// How often a waiting request looks what has become of its instance.
+const CHECK_INTERVAL_MS: u64 = 200;
 
 /// Multiple of a route's target after which a whole answer is asked for
 /// elsewhere even if its instance is alive. Streams are never given up for
@@ -94,6 +96,8 @@
     answer: Option<(u16, HeaderMap, Vec<u8>)>,
     /// What to remember of the instance.
     fault: Fault,
+    /// Whether another attempt was taken from the budget already.
+    retry_taken: bool,
 }
 
 /// What a broken attempt says of its instance.
@@ -203,7 +207,7 @@
             let after_ms = self.app.now().since(sent_at);
             self.note_broken(&placement.instance, &broken, events.last_id(), after_ms);
             self.excluded.push(placement.instance);
-            if self.may_try_again(broken.verdict) {
+            if broken.retry_taken || self.may_try_again(broken.verdict) {
                 continue;
             }
             if let Some((status, headers, body)) = broken.answer {
@@ -342,6 +346,7 @@
                 reason: format!("the instance answered {status} and did not run the request"),
                 answer: None,
                 fault,
+                retry_taken: false,
             });
         }
         let is_success = (200..300).contains(&status);
@@ -362,6 +367,7 @@
                 reason: format!("the instance answered {status}"),
                 answer: (meta.signed && is_own).then_some((status, headers, body)),
                 fault: Fault::Failed,
+                retry_taken: false,
             });
         }
         exchange.flight.on_first_event();
@@ -400,16 +406,16 @@
             if remaining.is_zero() {
                 return Err(Broken::failed("no answer before the request's deadline"));
             }
-            let is_overdue = waited_ms >= patience_ms
-                || (waited_ms >= SILENCE_MS && self.is_silent(now, instance, SILENCE_MS));
-            if is_overdue && self.has_alternative() {
-                return Err(Broken::failed(
-                    "no answer in time; another instance is asked",
-                ));
+            if waited_ms >= SILENCE_MS && self.is_silent(now, instance) {
+                self.app.probe(&self.request.upstream, instance);
+            }
+            let may_leave = waited_ms >= patience_ms || self.is_lost(now, instance);
+            if may_leave && self.has_alternative() && self.may_try_again(Verdict::MayHaveRun) {
+                return Err(Broken::left("no answer in time; another instance is asked"));
             }
             let next_ms = match patience_ms.min(SILENCE_MS) {
                 first_ms if waited_ms < first_ms => first_ms - waited_ms,
-                _ => SILENCE_MS / 4,
+                _ => CHECK_INTERVAL_MS,
             };
             smol::Timer::after(remaining.min(Duration::from_millis(next_ms))).await;
         }
@@ -426,9 +432,16 @@
         }
     }
 
-    fn is_silent(&self, now: TimeMs, instance: &InstanceId, silence_ms: u64) -> bool {
+    fn is_silent(&self, now: TimeMs, instance: &InstanceId) -> bool {
+        self.app.with_placer(&self.request.upstream, |placer| {
+            placer.is_silent(now, instance, SILENCE_MS)
+        })
+    }
+
+    /// Whether the instance is dark or hangs, rather than being busy.
+    fn is_lost(&self, now: TimeMs, instance: &InstanceId) -> bool {
         self.app.with_placer(&self.request.upstream, |placer| {
-            placer.is_silent(now, instance, silence_ms)
+            placer.is_unreachable(instance) || placer.is_hanging(now, instance)
         })
     }
 
@@ -439,11 +452,15 @@
             && self.remaining() > ATTEMPT_TIME_MIN
     }
 
-    /// Whether a stream may be taken away from an instance that went silent.
-    pub(crate) fn may_leave_silent(&self, exchange: &Exchange, stall: Duration) -> bool {
-        let stall_ms = stall.as_millis() as u64;
-        self.may_resume_if(self.has_alternative())
-            && self.is_silent(self.app.now(), &exchange.flight.instance, stall_ms)
+    /// Whether a stream that has stalled may be taken away from its instance:
+    /// only if that is dark or hangs.
+    pub(crate) fn may_leave_stalled(&self, exchange: &Exchange) -> bool {
+        let instance = &exchange.flight.instance;
+        let now = self.app.now();
+        if self.is_silent(now, instance) {
+            self.app.probe(&self.request.upstream, instance);
+        }
+        self.may_resume_if(self.has_alternative()) && self.is_lost(now, instance)
     }
 
     fn may_resume_if(&self, allowed: bool) -> bool {
@@ -603,6 +620,7 @@
             reason: "the kept connection had closed before anything was sent".into(),
             answer: None,
             fault: Fault::Failed,
+            retry_taken: false,
         }
     }
 
@@ -616,6 +634,15 @@
             reason: reason.into(),
             answer: None,
             fault: Fault::Failed,
+            retry_taken: false,
+        }
+    }
+
+    /// Gives an instance up for another one.
+    fn left(reason: &str) -> Self {
+        Self {
+            retry_taken: true,
+            ..Self::failed(reason)
         }
     }
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -19,7 +19,7 @@
     failure::Failure,
     headers,
     request::Request,
-    routing::{AnswerForm, Limits, Route, Routing, Team},
+    routing::{Limits, Route, Routing, Team},
 };
 
 /// Deadline of a caller that states none, beside its route's own bound.
@@ -129,10 +129,6 @@
         .deadline
         .unwrap_or(DEADLINE_UNSTATED)
         .min(route.timeout);
-    let pause_ms = match route.form {
-        AnswerForm::Events { gap_target } => Some(gap_target.as_millis() as u32),
-        AnswerForm::Whole => None,
-    };
     Ok(Request {
         request_id,
         method,
@@ -147,7 +143,6 @@
             parts: meta.parts,
             prompt_tokens: meta.prompt_tokens,
             output_tokens: meta.output_tokens,
-            pause_ms,
         },
         resume_after: meta.resume_after,
         received_at,
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -77,6 +77,18 @@
         Ok((connection, lease))
     }
 
+    /// Opens a connection and keeps it for the next request.
+    ///
+    /// # Errors
+    ///
+    /// [`ConnectError`] if the instance can't be reached.
+    pub(crate) async fn probe(&self, addr: &Arc<str>) -> Result<(), ConnectError> {
+        let lease = self.lease(addr, usize::MAX)?;
+        let connection = Connection::open(addr, CONNECT_TIMEOUT).await?;
+        self.put(lease, connection);
+        Ok(())
+    }
+
     /// Keeps a connection for the next request.
     pub(crate) fn put(&self, lease: Lease, connection: Connection) {
         if let Some(peer) = lock(&self.peers).get_mut(&lease.addr) {
--- a/crates/policy/src/placement/instance.rs
+++ b/crates/policy/src/placement/instance.rs
@@ -2,7 +2,7 @@
 
 use types::TimeMs;
 
-use super::{cache::KnownParts, Demand, Placeable, Placement};
+use super::{cache::KnownParts, lateness::Lateness, Demand, Placeable, Placement};
 
 /// What an instance offers.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -45,14 +45,14 @@
     reading_tokens: f64,
     /// Memory of own requests there.
     memory_tokens: f64,
-    /// How much later than predicted first events came lately.
-    excess_ms: f64,
-    excess_at: TimeMs,
+    lateness: Lateness,
     parts: KnownParts,
     failures: u32,
     avoid_until: TimeMs,
     full_until: TimeMs,
     last_heard_at: TimeMs,
+    /// Whether nobody answered there, and nothing was heard since.
+    unreachable: bool,
     /// Start of the present wait for an answer.
     awaited_since: TimeMs,
 }
@@ -60,7 +60,7 @@
 impl Tracked {
     /// Prompt tokens that an engine reads in a millisecond, about: the rate of
     /// the engines on the users' sheets.
-    pub(super) const READ_TOKENS_PER_MS: f64 = 56.0;
+    const READ_TOKENS_PER_MS: f64 = 56.0;
     /// Time from the last prompt token read to the first event, in
     /// milliseconds: set-up and a few steps of an idle engine.
     const FIRST_EVENT_MS: f64 = 30.0;
@@ -72,11 +72,11 @@
     /// Time that a request waits when the memory is full, in milliseconds:
     /// about what a running one takes to end.
     const MEMORY_WAIT_MS: f64 = 700.0;
-    /// Weight of a new observation of the excess.
-    const EXCESS_WEIGHT: f64 = 0.3;
-    /// Time in which an observed excess halves without news, in milliseconds:
+    /// Weight of a new observation of the lateness.
+    const LATENESS_WEIGHT: f64 = 0.3;
+    /// Time after which an observed lateness counts half, in milliseconds:
     /// about as long as a queue of prompts takes to clear.
-    const EXCESS_HALF_LIFE_MS: f64 = 800.0;
+    const LATENESS_HALF_LIFE_MS: f64 = 800.0;
     /// Avoidance after the second failure in a row, in milliseconds; doubles
     /// with each.
     const AVOID_MS: u64 = 250;
@@ -94,13 +94,13 @@
             awaited: 0,
             reading_tokens: 0.0,
             memory_tokens: 0.0,
-            excess_ms: 0.0,
-            excess_at: TimeMs(0),
+            lateness: Lateness::default(),
             parts: KnownParts::default(),
             failures: 0,
             avoid_until: TimeMs(0),
             full_until: TimeMs(0),
             last_heard_at: TimeMs(0),
+            unreachable: false,
             awaited_since: TimeMs(0),
         }
     }
@@ -163,7 +163,7 @@
                 Self::FIRST_EVENT_MS + reading_ms + Self::RUNNING_MS * running + wait_ms
             }
         };
-        expected_ms + self.excess_ms(now)
+        expected_ms + self.lateness_ms(now)
     }
 
     pub(super) fn on_sent(&mut self, now: TimeMs, demand: &Demand, placed: &Placement) -> Ticket {
@@ -181,30 +181,33 @@
             incarnation: self.incarnation,
             reading_tokens,
             memory_tokens,
-            predicted_ms: placed.predicted_ms - self.excess_ms(now),
+            predicted_ms: placed.predicted_ms - self.lateness_ms(now),
             sent_at: now,
             counted: true,
             answered: false,
         }
     }
 
-    pub(super) fn on_first_event(&mut self, now: TimeMs, ticket: &mut Ticket) {
+    /// Returns how much later than predicted it came, in milliseconds.
+    pub(super) fn on_first_event(&mut self, now: TimeMs, ticket: &mut Ticket) -> Option<f64> {
         self.on_heard(now);
         self.failures = 0;
         self.avoid_until = TimeMs(0);
         if !self.counts(ticket) || ticket.answered {
-            return;
+            return None;
         }
         let waited_ms = now.since(ticket.sent_at) as f64;
         let sample_ms = (waited_ms - ticket.predicted_ms).max(0.0);
-        let before_ms = self.excess_ms(now);
-        self.excess_ms = before_ms + Self::EXCESS_WEIGHT * (sample_ms - before_ms);
-        self.excess_at = now;
+        let before_ms = self.lateness_ms(now);
+        self.lateness
+            .add(now, before_ms, sample_ms, Self::LATENESS_WEIGHT);
         self.settle_reading(ticket);
+        Some(sample_ms)
     }
 
     pub(super) fn on_heard(&mut self, now: TimeMs) {
         self.last_heard_at = now;
+        self.unreachable = false;
     }
 
     pub(super) fn on_end(&mut self, mut ticket: Ticket) {
@@ -243,6 +246,7 @@
     }
 
     pub(super) fn on_unreachable(&mut self, now: TimeMs) {
+        self.unreachable = true;
         let failures = self.failures.min(16);
         self.failures += 1;
         let avoid_ms = (Self::AVOID_MS << failures).min(Self::AVOID_MAX_MS);
@@ -264,13 +268,16 @@
         now >= self.avoid_until && !on_trial && !self.is_full(now)
     }
 
+    pub(super) fn is_unreachable(&self) -> bool {
+        self.unreachable
+    }
+
     pub(super) fn is_silent(&self, now: TimeMs, silence_ms: u64) -> bool {
         let since = self.awaited_since.max(self.last_heard_at);
         now.since(since) >= silence_ms
     }
 
-    fn excess_ms(&self, now: TimeMs) -> f64 {
-        let age_ms = now.since(self.excess_at) as f64;
-        self.excess_ms * 0.5_f64.powf(age_ms / Self::EXCESS_HALF_LIFE_MS)
+    fn lateness_ms(&self, now: TimeMs) -> f64 {
+        self.lateness.get(now, Self::LATENESS_HALF_LIFE_MS)
     }
 }
--- /dev/null
+++ b/crates/policy/src/placement/lateness.rs
@@ -0,0 +1,26 @@
+//! How much later than predicted first events come.
+
+use types::TimeMs;
+
+/// A smoothed lateness that goes back to zero without news.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Lateness {
+    value_ms: f64,
+    at: TimeMs,
+}
+
+impl Lateness {
+    /// Lateness now, in milliseconds. What was observed counts half after
+    /// `half_life_ms`.
+    pub(super) fn get(&self, now: TimeMs, half_life_ms: f64) -> f64 {
+        let age_ms = now.since(self.at) as f64;
+        self.value_ms * 0.5_f64.powf(age_ms / half_life_ms)
+    }
+
+    /// Takes in an observation with a weight, on top of `before_ms`, the
+    /// lateness now.
+    pub(super) fn add(&mut self, now: TimeMs, before_ms: f64, sample_ms: f64, weight: f64) {
+        self.value_ms = before_ms + weight * (sample_ms - before_ms);
+        self.at = now;
+    }
+}
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -14,7 +14,7 @@
 mod cache;
 mod home;
 mod instance;
-mod lanes;
+mod lateness;
 
 use std::sync::Arc;
 
@@ -25,7 +25,7 @@
 
 use home::home_ranks;
 use instance::Tracked;
-use lanes::{Lanes, Side};
+use lateness::Lateness;
 
 /// A part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,9 +46,6 @@
     pub prompt_tokens: u32,
     /// Tokens that the answer has at most.
     pub output_tokens: u32,
-    /// Longest pause between two events with which a stream is on time, in
-    /// milliseconds; `None` for a whole answer.
-    pub pause_ms: Option<u32>,
 }
 
 impl Demand {
@@ -59,20 +56,6 @@
             None => &[],
         }
     }
-
-    /// Time that an engine spends on the request, in milliseconds, about.
-    fn work_ms(&self) -> f64 {
-        /// Share of requests whose shared parts have to be read.
-        const READ_SHARE: f64 = 0.15;
-        /// Time of an output token, a step of some ten requests, in
-        /// milliseconds.
-        const TOKEN_MS: f64 = 0.35;
-
-        let shared: u32 = self.shared().iter().map(|part| part.tokens).sum();
-        let own = f64::from(self.prompt_tokens.saturating_sub(shared));
-        let to_read = own + READ_SHARE * f64::from(shared);
-        to_read / Tracked::READ_TOKENS_PER_MS + TOKEN_MS * f64::from(self.output_tokens)
-    }
 }
 
 /// An instance that requests may be placed on.
@@ -112,7 +95,8 @@
 #[derive(Debug, Default)]
 pub struct Placer {
     instances: IndexMap<InstanceId, Tracked>,
-    lanes: Lanes,
+    /// Over all instances.
+    lateness: Lateness,
 }
 
 impl Placer {
@@ -124,20 +108,25 @@
     /// so it counts more than once.
     const WASTE_WEIGHT: f64 = 2.0;
 
-    /// Advantage for which a stream leaves its lane for one of longer pauses,
-    /// in milliseconds: it then pauses as long as the slower streams there.
-    const LOOSER_LANE_MS: f64 = 150.0;
-    /// Advantage for which a request that bears long pauses goes among streams
-    /// that don't, in milliseconds: it slows down all of them.
-    const TIGHTER_LANE_MS: f64 = 1_500.0;
-
-    fn side_ms(side: Side) -> f64 {
-        match side {
-            Side::Own => 0.0,
-            Side::Looser => Self::LOOSER_LANE_MS,
-            Side::Tighter => Self::TIGHTER_LANE_MS,
-        }
-    }
+    /// Weight of one observation in the lateness over all instances: some
+    /// twenty answers set it.
+    const LATENESS_WEIGHT: f64 = 0.08;
+    /// Time after which that lateness counts half without news, in
+    /// milliseconds.
+    const LATENESS_HALF_LIFE_MS: f64 = 2_000.0;
+    /// An observation counts for all instances as at most this multiple of the
+    /// lateness so far and [`Self::OUTLIER_MS`] more, so that one straggler
+    /// does not make all of them seem busy.
+    const OUTLIER_FACTOR: f64 = 2.0;
+    /// See [`Self::OUTLIER_FACTOR`]; in milliseconds.
+    const OUTLIER_MS: f64 = 150.0;
+    /// Silence after which an instance counts as hanging while the others are
+    /// on time, in milliseconds: callers give up on a stream after two seconds
+    /// or more.
+    const HANGING_MS: f64 = 1_100.0;
+    /// Part of the lateness over all instances by which that becomes longer:
+    /// where all queues are long, silence says little.
+    const HANGING_LATENESS: f64 = 4.0;
 
     /// Takes over the members as they are now.
     pub fn set_members(&mut self, members: &[Placeable]) {
@@ -150,7 +139,6 @@
             tracked.set_capacity(member.capacity);
             self.instances.insert(member.instance.clone(), tracked);
         }
-        self.lanes.set_instances(self.instances.keys());
     }
 
     /// Members known.
@@ -177,10 +165,7 @@
         exclude: &[InstanceId],
         usable: impl Fn(&Tracked) -> bool,
     ) -> Option<Placement> {
-        let sides: Vec<Side> = (0..self.instances.len())
-            .map(|index| self.lanes.side(index, demand.pause_ms))
-            .collect();
-        let ranks = home_ranks(self.instances.keys(), demand.shared(), &sides);
+        let ranks = home_ranks(self.instances.keys(), demand.shared());
         let mut best: Option<(f64, Placement)> = None;
         for (index, (instance, tracked)) in self.instances.iter().enumerate() {
             if exclude.contains(instance) || !usable(tracked) {
@@ -191,8 +176,7 @@
             let predicted_ms = tracked.predicted_ms(now, demand, cached_tokens);
             let cost = predicted_ms
                 + Self::WASTE_WEIGHT * tracked.wasted_ms(demand, cached_tokens)
-                + Self::HOME_BONUS_MS * home_rank.min(2) as f64
-                + Self::side_ms(sides[index]);
+                + Self::HOME_BONUS_MS * home_rank.min(2) as f64;
             if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
                 let placement = Placement {
                     instance: instance.clone(),
@@ -210,9 +194,6 @@
     /// Notes that a request was sent as placed. The ticket is handed back with
     /// [`Placer::on_end`].
     pub fn on_sent(&mut self, now: TimeMs, demand: &Demand, placement: &Placement) -> Ticket {
-        if let Some(pause_ms) = demand.pause_ms {
-            self.lanes.note(now, pause_ms, demand.work_ms());
-        }
         let Some(tracked) = self.instances.get_mut(&placement.instance) else {
             return Ticket::default();
         };
@@ -221,9 +202,15 @@
 
     /// Notes the first event, or the head of a plain answer.
     pub fn on_first_event(&mut self, now: TimeMs, instance: &InstanceId, ticket: &mut Ticket) {
-        if let Some(tracked) = self.instances.get_mut(instance) {
-            tracked.on_first_event(now, ticket);
-        }
+        let tracked = self.instances.get_mut(instance);
+        let Some(sample_ms) = tracked.and_then(|tracked| tracked.on_first_event(now, ticket))
+        else {
+            return;
+        };
+        let before_ms = self.lateness.get(now, Self::LATENESS_HALF_LIFE_MS);
+        let capped_ms = sample_ms.min(before_ms * Self::OUTLIER_FACTOR + Self::OUTLIER_MS);
+        self.lateness
+            .add(now, before_ms, capped_ms, Self::LATENESS_WEIGHT);
     }
 
     /// Notes a sign of life.
@@ -263,6 +250,23 @@
         }
     }
 
+    /// Whether nobody answered at the instance when it was last tried, and
+    /// nothing was heard of it since. An instance that is no member any more
+    /// counts as reachable: it may finish what it has.
+    pub fn is_unreachable(&self, instance: &InstanceId) -> bool {
+        let tracked = self.instances.get(instance);
+        tracked.is_some_and(Tracked::is_unreachable)
+    }
+
+    /// Whether nothing was heard of the instance for so long, though it owes
+    /// answers, that no queue as long as those of the others explains it.
+    pub fn is_hanging(&self, now: TimeMs, instance: &InstanceId) -> bool {
+        let usual_ms = self.lateness.get(now, Self::LATENESS_HALF_LIFE_MS);
+        let silence_ms = Self::HANGING_MS + Self::HANGING_LATENESS * usual_ms;
+        let tracked = self.instances.get(instance);
+        tracked.is_some_and(|tracked| tracked.is_silent(now, silence_ms as u64))
+    }
+
     /// Whether nothing was heard of the instance for `silence_ms` though it
     /// owes answers.
     pub fn is_silent(&self, now: TimeMs, instance: &InstanceId, silence_ms: u64) -> bool {
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -83,7 +83,6 @@
         parts: parts.into(),
         prompt_tokens: 16_000,
         output_tokens: 120,
-        pause_ms: None,
     }
 }
 
--- a/crates/policy/tests/support/prompts.rs
+++ b/crates/policy/tests/support/prompts.rs
@@ -261,7 +261,6 @@
         .into(),
         prompt_tokens: arrival.shared_tokens + arrival.own_tokens,
         output_tokens: arrival.output_tokens,
-        pause_ms: None,
     }
 }
 
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -167,6 +167,13 @@
             /// Version in force.
             in_force: u64,
         } = "The store answered with an older configuration than the one in force.", "Nothing, unless it lasts.";
+        5016 Info InstanceProbed {
+            /// The instance.
+            instance: InstanceId,
+            /// Why it can't be reached, empty if it can.
+            error: String,
+        } = "An instance that was silent while it owed answers was tried with a new connection.",
+            "Look at the instance if it can't be reached.";
         5020 Info GatewayDrainBegun {
             /// Own instance.
             instance: InstanceId,
