Let the second home take over where the first can't be used

The order now holds among the instances that can be used.

Test without_the_home_all_entries_agree_on_the_second: red before.

--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -78,7 +78,8 @@
     pub predicted_ms: f64,
     /// Prompt tokens that need not be read, as far as this entry knows.
     pub cached_tokens: u32,
-    /// Place of the instance in the prompt's order of homes, 0 for the first.
+    /// Place of the instance in the prompt's order of homes among those that
+    /// can be used, 0 for the first.
     pub home_rank: usize,
     /// Own requests there.
     pub in_flight: u32,
@@ -174,13 +175,18 @@
         let usual_ms = self.usual_lateness_ms(now);
         let busy_ms = (usual_ms - Self::SPARE_LATENESS_MS).max(0.0);
         let waste_weight = Self::WASTE_WEIGHT + busy_ms / Self::WASTE_LATENESS_MS;
-        let ranks = home_ranks(self.instances.keys(), demand.shared());
+        let candidates: Vec<(&InstanceId, &Tracked)> = self
+            .instances
+            .iter()
+            .filter(|(instance, tracked)| !exclude.contains(instance) && usable(tracked))
+            .collect();
+        // Where the first home can't be used all entries agree on the second.
+        let ranks = home_ranks(
+            candidates.iter().map(|(instance, _)| *instance),
+            demand.shared(),
+        );
         let mut best: Option<(f64, Placement)> = None;
-        for (index, (instance, tracked)) in self.instances.iter().enumerate() {
-            if exclude.contains(instance) || !usable(tracked) {
-                continue;
-            }
-            let home_rank = ranks[index];
+        for ((instance, tracked), home_rank) in candidates.into_iter().zip(ranks) {
             let cached_tokens = tracked.cached_tokens(now, demand, home_rank);
             let predicted_ms = tracked.predicted_ms(now, demand, cached_tokens, usual_ms);
             let cost = predicted_ms
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -147,6 +147,39 @@
     assert!((2..=10).contains(&used.len()), "{used:?}");
 }
 
+/// Where a subject's home can't be used, all entries send it to the same other
+/// instance, so that it is read once there. Seen on the grown sites: each entry
+/// took another one, and a crash had its prompts read all over.
+#[rstest]
+#[case::avoided(true)]
+#[case::tried_already(false)]
+fn without_the_home_all_entries_agree_on_the_second(#[case] avoided: bool) {
+    for subject in 0..50 {
+        let mut seconds = std::collections::BTreeSet::new();
+        for entry in 0..4 {
+            let mut placer = placer(10);
+            let home = choose(&placer, 0, subject);
+            // Entries differ in what they sent before.
+            for other in 0..entry {
+                let sent = placer.choose(TimeMs(0), &demand(1_000 + other), &[]);
+                let sent = sent.expect("an instance");
+                let _ticket = placer.on_sent(TimeMs(0), &demand(1_000 + other), &sent);
+            }
+            let exclude = match avoided {
+                true => {
+                    placer.on_unreachable(TimeMs(0), &home);
+                    Vec::new()
+                }
+                false => vec![home.clone()],
+            };
+            let placed = placer.choose(TimeMs(1), &demand(subject), &exclude);
+            seconds.insert(placed.expect("an instance").instance);
+        }
+
+        assert_eq!(seconds.len(), 1, "subject {subject}: {seconds:?}");
+    }
+}
+
 /// An instance whose first events come late is left for a while, and tried
 /// again when no more news of its lateness comes.
 #[test]
