--- a/crates/policy/src/placement/home.rs
+++ b/crates/policy/src/placement/home.rs
@@ -7,12 +7,12 @@
 use rapidhash::v3::rapidhash_v3;
 use types::InstanceId;
 
-use super::{lanes::Side, Part};
+use super::Part;
 
-/// Place of each instance in the order of homes, 0 for the first; those for
-/// prompts of this kind come first. Without shared parts all are equal.
+/// Place of each instance in the order of homes, 0 for the first. Without
+/// shared parts all instances are equal.
 pub(super) fn home_ranks<'a>(
-    instances: impl Iterator<Item = (&'a InstanceId, Side)>,
+    instances: impl Iterator<Item = &'a InstanceId>,
     shared: &[Part],
 ) -> Vec<usize> {
     if shared.is_empty() {
@@ -23,11 +23,8 @@
         .flat_map(|part| part.id.to_le_bytes())
         .collect();
     let prompt = rapidhash_v3(&ids).to_le_bytes();
-    let draws: Vec<(bool, u64)> = instances
-        .map(|(instance, side)| {
-            let draw = rapidhash_v3(&[&prompt, instance.as_str().as_bytes()].concat());
-            (side == Side::Own, draw)
-        })
+    let draws: Vec<u64> = instances
+        .map(|instance| rapidhash_v3(&[&prompt, instance.as_str().as_bytes()].concat()))
         .collect();
     draws
         .iter()
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -14,7 +14,6 @@
 mod cache;
 mod home;
 mod instance;
-mod lanes;
 mod lateness;
 
 use std::sync::Arc;
@@ -26,7 +25,6 @@
 
 use home::home_ranks;
 use instance::Tracked;
-use lanes::{Lanes, Side};
 use lateness::Lateness;
 
 /// A part of a prompt.
@@ -98,7 +96,6 @@
 #[derive(Debug, Default)]
 pub struct Placer {
     instances: IndexMap<InstanceId, Tracked>,
-    lanes: Lanes,
     /// Over all instances.
     lateness: Lateness,
 }
@@ -138,21 +135,6 @@
     /// where all queues are long, silence says little.
     const HANGING_LATENESS: f64 = 4.0;
 
-    /// Advantage for which a short prompt goes beside long ones, in
-    /// milliseconds: its stream then pauses for as long as theirs.
-    const AMONG_LONG_MS: f64 = 150.0;
-    /// Advantage for which a long prompt goes among short ones, in
-    /// milliseconds: it holds up all of their streams.
-    const AMONG_SHORT_MS: f64 = 3_000.0;
-
-    fn side_ms(side: Side) -> f64 {
-        match side {
-            Side::Own => 0.0,
-            Side::AmongLong => Self::AMONG_LONG_MS,
-            Side::AmongShort => Self::AMONG_SHORT_MS,
-        }
-    }
-
     /// Takes over the members as they are now.
     pub fn set_members(&mut self, members: &[Placeable]) {
         let mut before = std::mem::take(&mut self.instances);
@@ -164,7 +146,6 @@
             tracked.set_capacity(member.capacity);
             self.instances.insert(member.instance.clone(), tracked);
         }
-        self.lanes.set_instances(self.instances.keys());
     }
 
     /// Members known.
@@ -194,28 +175,23 @@
         let usual_ms = self.usual_lateness_ms(now);
         let busy_ms = (usual_ms - Self::SPARE_LATENESS_MS).max(0.0);
         let waste_weight = Self::WASTE_WEIGHT + busy_ms / Self::WASTE_LATENESS_MS;
-        let candidates: Vec<(&InstanceId, &Tracked, Side)> = self
+        let candidates: Vec<(&InstanceId, &Tracked)> = self
             .instances
             .iter()
-            .enumerate()
-            .filter(|(_, (instance, tracked))| !exclude.contains(instance) && usable(tracked))
-            .map(|(index, (instance, tracked))| (instance, tracked, self.lanes.side(index, demand)))
+            .filter(|(instance, tracked)| !exclude.contains(instance) && usable(tracked))
             .collect();
         // Where the first home can't be used all entries agree on the second.
         let ranks = home_ranks(
-            candidates
-                .iter()
-                .map(|(instance, _, side)| (*instance, *side)),
+            candidates.iter().map(|(instance, _)| *instance),
             demand.shared(),
         );
         let mut best: Option<(f64, Placement)> = None;
-        for ((instance, tracked, side), home_rank) in candidates.into_iter().zip(ranks) {
+        for ((instance, tracked), home_rank) in candidates.into_iter().zip(ranks) {
             let cached_tokens = tracked.cached_tokens(now, demand, home_rank);
             let predicted_ms = tracked.predicted_ms(now, demand, cached_tokens, usual_ms);
             let cost = predicted_ms
                 + waste_weight * tracked.wasted_ms(demand, cached_tokens)
-                + Self::HOME_BONUS_MS * home_rank.min(2) as f64
-                + Self::side_ms(side);
+                + Self::HOME_BONUS_MS * home_rank.min(2) as f64;
             if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
                 let placement = Placement {
                     instance: instance.clone(),
@@ -234,7 +210,6 @@
     /// [`Placer::on_end`].
     pub fn on_sent(&mut self, now: TimeMs, demand: &Demand, placement: &Placement) -> Ticket {
         let usual_ms = self.usual_lateness_ms(now);
-        self.lanes.note(now, demand);
         let Some(tracked) = self.instances.get_mut(&placement.instance) else {
             return Ticket::default();
         };
