--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -15,9 +15,11 @@
 /// 3 s after which the platform's users expect a process to be in touch again.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
 
-/// Shortest time between the starts of two calls. An answer that comes at once
-/// and holds nothing must not turn into a stream of calls.
-const CALL_INTERVAL_MIN: Duration = Duration::from_millis(50);
+/// Shortest time between the starts of two calls. Changes that come together
+/// are taken in by one call; an answer that comes at once and holds nothing
+/// does not turn into a stream of calls. Small against the two seconds within
+/// which a change has to be in force.
+const CALL_INTERVAL_MIN: Duration = Duration::from_millis(350);
 
 /// First pause after a failed call; doubles with each.
 const BACKOFF_MIN: Duration = Duration::from_millis(100);
