--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -87,9 +87,12 @@
 
     /// Whether the balancer may send requests.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.lifecycle.is_draining()
-            && self.routing.load().version > 0
-            && self.listed.load(Ordering::Relaxed)
+        !self.lifecycle.is_draining() && self.has_state()
+    }
+
+    /// Whether a configuration and the instances are known.
+    pub(crate) fn has_state(&self) -> bool {
+        self.listed.load(Ordering::Relaxed) && self.routing.load().version > 0
     }
 
     /// Notes that the platform confirmed the roster just now.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -51,6 +51,8 @@
             match feed.list().await {
                 Ok(listing) => {
                     pace.on_answer();
+                    // What has changed meanwhile is asked for at once.
+                    pace.called_at = None;
                     revision = Some(listing.revision);
                     on_update(Update::All(listing));
                 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -25,8 +25,15 @@
 /// Deadline of a caller that states none, beside its route's own bound.
 const DEADLINE_UNSTATED: Duration = Duration::from_secs(60);
 
-/// Retry time told to callers before the first configuration. A new process
-/// knows it within some hundred milliseconds.
+/// How long a request waits for the first configuration and list of instances.
+/// A new process knows both some ten milliseconds after its start if the store
+/// answers; after a power cut callers are there before that.
+const FIRST_STATE_WAIT: Duration = Duration::from_millis(300);
+
+/// How often a request looks whether they have come.
+const FIRST_STATE_CHECK: Duration = Duration::from_millis(10);
+
+/// Retry time told to callers before the first configuration.
 const NOT_CONFIGURED_RETRY_MS: u64 = 400;
 
 /// Retry time told to callers of a process that stops. The balancer sends the
@@ -105,6 +112,7 @@
     meta: RequestMeta,
     received_at: TimeMs,
 ) -> Result<Request, Failure> {
+    await_first_state(app).await;
     let config = app.routing.load_full();
     if config.version == 0 {
         return Err(Failure::not_run(
@@ -151,6 +159,15 @@
     })
 }
 
+/// Returns once configuration and instances are known, or after a bounded wait.
+async fn await_first_state(app: &App) {
+    let mut waited = Duration::ZERO;
+    while !app.has_state() && waited < FIRST_STATE_WAIT {
+        smol::Timer::after(FIRST_STATE_CHECK).await;
+        waited += FIRST_STATE_CHECK;
+    }
+}
+
 fn check_head(conn: &Conn, headers: &HeaderMap, limits: &Limits) -> Result<(), Failure> {
     let fields: usize = headers
         .iter()
