--- a/crates/gateway/src/answer/mod.rs
+++ b/crates/gateway/src/answer/mod.rs
@@ -6,7 +6,7 @@
 
 pub(crate) use events::Events;
 pub(crate) use stream::{Opened, StreamBody};
-pub(crate) use whole::read_whole;
+pub(crate) use whole::{read_whole, WholeAnswer};
 
 use http::HeaderMap;
 use trillium::Conn;
--- a/crates/gateway/src/answer/whole.rs
+++ b/crates/gateway/src/answer/whole.rs
@@ -2,12 +2,22 @@
 
 use std::future::poll_fn;
 
+use http::HeaderMap;
+
 use crate::upstream::{Answer, Cut};
 
 /// Largest answer that is held whole, in bytes. The answers of plain services
 /// have some kilobytes; the smallest machines have 88 MB for everything.
 const ANSWER_MAX_BYTES: usize = 4 << 20;
 
+/// An instance's whole answer.
+#[derive(Debug)]
+pub(crate) struct WholeAnswer {
+    pub(crate) status: u16,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Vec<u8>,
+}
+
 /// Why there is no whole answer.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum NotWhole {
--- a/crates/gateway/src/attempt/session.rs
+++ b/crates/gateway/src/attempt/session.rs
@@ -14,13 +14,13 @@
 
 use super::exchange::{Exchange, Flight};
 use crate::{
-    answer::{read_whole, Events, Opened},
+    answer::{read_whole, Events, Opened, WholeAnswer},
     app::App,
     dialect::{AnswerMeta, SendMeta},
     failure::Failure,
     request::Request,
     routing::{AnswerForm, Repeatable},
-    upstream::{Cut, Lease, Unsent},
+    upstream::{ConnectError, Connection, Cut, Lease, Unsent},
 };
 
 /// Connects that may fail before a request is given up. They cost callers up
@@ -65,14 +65,7 @@
 /// What the caller gets.
 pub(crate) enum Outcome {
     /// An instance's whole answer.
-    Whole {
-        /// Status.
-        status: u16,
-        /// Headers.
-        headers: HeaderMap,
-        /// Body.
-        body: Vec<u8>,
-    },
+    Whole(WholeAnswer),
     /// A stream whose first event has come.
     Stream {
         /// Headers of the run that began it.
@@ -84,8 +77,8 @@
 
 /// A whole answer, or the start of a stream.
 enum Received {
-    Whole(u16, HeaderMap, Vec<u8>),
-    Begun(Exchange, Events),
+    Whole(WholeAnswer),
+    Begun(Box<Exchange>, Events),
 }
 
 /// An attempt without an answer for the caller.
@@ -93,7 +86,7 @@
     verdict: Verdict,
     reason: String,
     /// An instance's own error answer, to be passed on if it stays the last.
-    answer: Option<(u16, HeaderMap, Vec<u8>)>,
+    answer: Option<WholeAnswer>,
     /// What to remember of the instance.
     fault: Fault,
     /// Whether another attempt was taken from the budget already.
@@ -155,19 +148,15 @@
     pub(crate) async fn run(mut self) -> Result<Outcome, Failure> {
         let events = Events::after(self.request.resume_after);
         match self.open(events).await? {
-            Received::Whole(status, headers, body) => {
-                self.log_answered(status, 0);
-                Ok(Outcome::Whole {
-                    status,
-                    headers,
-                    body,
-                })
+            Received::Whole(answer) => {
+                self.log_answered(answer.status, 0);
+                Ok(Outcome::Whole(answer))
             }
             Received::Begun(exchange, events) => Ok(Outcome::Stream {
                 headers: exchange.answer.headers.clone(),
                 opened: Box::new(Opened {
                     session: self,
-                    exchange,
+                    exchange: *exchange,
                     events,
                 }),
             }),
@@ -184,10 +173,13 @@
         events: Events,
     ) -> Result<(Exchange, Events), Failure> {
         match self.open(events).await? {
-            Received::Begun(exchange, events) => Ok((exchange, events)),
-            Received::Whole(status, ..) => Err(Failure::unsure(
+            Received::Begun(exchange, events) => Ok((*exchange, events)),
+            Received::Whole(answer) => Err(Failure::unsure(
                 ErrorCode::UpstreamFailed,
-                format!("the instance answered {status} instead of going on"),
+                format!(
+                    "the instance answered {} instead of going on",
+                    answer.status
+                ),
             )),
         }
     }
@@ -210,17 +202,15 @@
             if broken.retry_taken || self.may_try_again(broken.verdict) {
                 continue;
             }
-            if let Some((status, headers, body)) = broken.answer {
-                return Ok(Received::Whole(status, headers, body));
+            if let Some(answer) = broken.answer {
+                return Ok(Received::Whole(answer));
             }
             return Err(self.overall(&broken));
         }
     }
 
     /// Chooses an instance and gets a connection to it.
-    async fn connect(
-        &mut self,
-    ) -> Result<(Placement, Flight, crate::upstream::Connection, Lease), Failure> {
+    async fn connect(&mut self) -> Result<(Placement, Flight, Connection, Lease), Failure> {
         let mut reason = String::from("no instance of the upstream can be used");
         for _ in 0..CONNECTS_MAX {
             if self.remaining() < ATTEMPT_TIME_MIN {
@@ -250,8 +240,8 @@
                     reason = error.to_string();
                     let now = self.app.now();
                     self.app.with_placer(&upstream, |placer| match error {
-                        crate::upstream::ConnectError::InUse(_) => placer.on_full(now, &instance),
-                        crate::upstream::ConnectError::Failed(_) => {
+                        ConnectError::InUse(_) => placer.on_full(now, &instance),
+                        ConnectError::Failed(_) => {
                             placer.on_unreachable(now, &instance);
                         }
                     });
@@ -302,7 +292,7 @@
     async fn receive(
         &self,
         flight: Flight,
-        connection: crate::upstream::Connection,
+        connection: Connection,
         lease: Lease,
         http_request: HttpRequest<Full<Bytes>>,
         events: &mut Events,
@@ -359,20 +349,24 @@
         let body = read_whole(&mut exchange.answer)
             .await
             .map_err(|error| Broken::failed(error.to_string()))?;
-        let headers = exchange.answer.headers.clone();
+        let answer = WholeAnswer {
+            status,
+            headers: exchange.answer.headers.clone(),
+            body,
+        };
         if status >= 500 {
             exchange.keep(&self.app);
             return Err(Broken {
                 verdict: Verdict::MayHaveRun,
                 reason: format!("the instance answered {status}"),
-                answer: (meta.signed && is_own).then_some((status, headers, body)),
+                answer: (meta.signed && is_own).then_some(answer),
                 fault: Fault::Failed,
                 retry_taken: false,
             });
         }
         exchange.flight.on_first_event();
         exchange.keep(&self.app);
-        Ok(Received::Whole(status, headers, body))
+        Ok(Received::Whole(answer))
     }
 
     async fn first_event(
@@ -392,7 +386,7 @@
             }
         }
         exchange.flight.on_first_event();
-        Ok(Received::Begun(exchange, events))
+        Ok(Received::Begun(Box::new(exchange), events))
     }
 
     /// Ends when the request should not wait for this instance any more.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -33,7 +33,7 @@
 pub(crate) enum Update<T> {
     /// Everything there is.
     All(Listing<T>),
-    /// What has changed since.
+    /// What has changed since; nothing, if the state was confirmed as it is.
     Changes(Listing<T>),
 }
 
@@ -64,9 +64,7 @@
             Ok(Watched::Changes(listing)) => {
                 pace.on_answer();
                 revision = Some(listing.revision.max(after));
-                if !listing.entries.is_empty() {
-                    on_update(Update::Changes(listing));
-                }
+                on_update(Update::Changes(listing));
             }
             Ok(Watched::HistoryLost) => {
                 pace.on_answer();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -73,13 +73,9 @@
     let outcome = conn.cancel_on_disconnect(session.run()).await;
     let conn = with_close_if_draining(&app, conn);
     match outcome {
-        Some(Ok(Outcome::Whole {
-            status,
-            headers,
-            body,
-        })) => with_headers(conn, &headers)
-            .with_status(Status::try_from(status).unwrap_or(Status::BadGateway))
-            .with_body(body)
+        Some(Ok(Outcome::Whole(answer))) => with_headers(conn, &answer.headers)
+            .with_status(Status::try_from(answer.status).unwrap_or(Status::BadGateway))
+            .with_body(answer.body)
             .halt(),
         Some(Ok(Outcome::Stream {
             headers,
--- a/xtask/src/docs.rs
+++ b/xtask/src/docs.rs
@@ -51,7 +51,7 @@
             text: events_table(&telemetry::events::catalogue()),
         },
         Page {
-            path: "docs/operating.md",
+            path: "docs/OPERATIONS.md",
             part: "settings",
             text: settings_tables(&limpetgw::command()),
         },
