Pause after a watch that did not wait

Cause: an answer without news that comes at once was followed by the next call at once, 110 calls a second from each process over a network and 5,095,933 in 2 s against a store in memory.

--- a/crates/shared-state/src/follow/config.rs
+++ b/crates/shared-state/src/follow/config.rs
@@ -1,13 +1,16 @@
 //! Follows the configuration in the platform's store.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use ::config::Head;
 use store::StoreError;
 use telemetry::events::StateEvent;
 use types::Generation;
 
-use super::pace::{delay_before_fetch, jittered};
+use super::pace::{delay_before_fetch, ended_too_soon, jittered};
 use crate::{
     config_store::{head_key, parse_head, read_head, read_shards, ReadError},
     settings::Settings,
@@ -25,6 +28,8 @@
     let mut version = 0;
     let mut quiet = QUIET_WATCHES_BEFORE_READ;
     loop {
+        let asked_at = Instant::now();
+        let is_watch = quiet < QUIET_WATCHES_BEFORE_READ;
         let seen = if quiet >= QUIET_WATCHES_BEFORE_READ {
             read(&state, &settings).await
         } else {
@@ -32,20 +37,33 @@
         };
         match seen {
             Ok(Some(seen)) => {
+                let is_news = seen > version;
                 version = seen;
                 quiet = 0;
+                if is_watch && !is_news && ended_too_soon(asked_at.elapsed()) {
+                    pause().await;
+                }
+            }
+            Ok(None) => {
+                quiet += 1;
+                if ended_too_soon(asked_at.elapsed()) {
+                    pause().await;
+                }
             }
-            Ok(None) => quiet += 1,
             Err(error) => {
                 log::debug!("reading the configuration failed: {error}");
                 // After a failed watch the head is read without one.
                 quiet = QUIET_WATCHES_BEFORE_READ;
-                smol::Timer::after(jittered(RETRY_INTERVAL, rand::random())).await;
+                pause().await;
             }
         }
     }
 }
 
+async fn pause() {
+    smol::Timer::after(jittered(RETRY_INTERVAL, rand::random())).await;
+}
+
 /// Reads the head and applies it; returns its object's version.
 async fn read(state: &SharedState, settings: &Settings) -> Result<Option<u64>, ReadError> {
     let stored = read_head(&*settings.store).await;
--- a/crates/shared-state/src/follow/instances.rs
+++ b/crates/shared-state/src/follow/instances.rs
@@ -1,10 +1,13 @@
 //! Follows the platform's instance list.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use rpc::methods::{GetMembership, GetStatus};
 
-use super::pace::jittered;
+use super::pace::{ended_too_soon, jittered};
 use crate::{settings::Settings, state::SharedState};
 
 /// Mean time between tries while the list is unavailable.
@@ -23,6 +26,8 @@
 pub(super) async fn follow(state: Arc<SharedState>, settings: Arc<Settings>) {
     let mut after = None;
     loop {
+        let asked_at = Instant::now();
+        let before = state.list_version();
         let answer = settings
             .instances
             .instances(after, settings.watch_timeout)
@@ -35,6 +40,10 @@
                     state.on_list(list);
                     smol::Timer::after(pause_after(lines)).await;
                 }
+                let is_news = state.list_version() > before;
+                if !is_news && after.is_some() && ended_too_soon(asked_at.elapsed()) {
+                    pause().await;
+                }
                 after = Some(state.list_version());
             }
             Err(error) => {
@@ -44,12 +53,16 @@
                 }
                 // A list that was started anew is seen without a version.
                 after = None;
-                smol::Timer::after(jittered(RETRY_INTERVAL, rand::random())).await;
+                pause().await;
             }
         }
     }
 }
 
+async fn pause() {
+    smol::Timer::after(jittered(RETRY_INTERVAL, rand::random())).await;
+}
+
 /// Pause after a list of so many lines was read: changes in quick succession
 /// are read as one.
 fn pause_after(lines: usize) -> Duration {
--- a/crates/shared-state/src/follow/pace.rs
+++ b/crates/shared-state/src/follow/pace.rs
@@ -8,6 +8,17 @@
 /// next watch.
 const CALLS_PER_FETCH: u64 = 2;
 
+/// A watch that ends sooner than this without news did not wait: its answer is
+/// not what was asked for, and asking again at once would make as many calls as
+/// the connection carries (110 a second were seen).
+const WATCH_MIN: Duration = Duration::from_millis(200);
+
+/// Whether a watch that took `took` and brought no news has to be followed by
+/// the pause after a failed call.
+pub(super) fn ended_too_soon(took: Duration) -> bool {
+    took < WATCH_MIN
+}
+
 /// A random time around `mean`, from half of it to one and a half of it;
 /// `draw` lies in 0 to 1.
 pub fn jittered(mean: Duration, draw: f64) -> Duration {
