--- /dev/null
+++ b/crates/gateway/src/attempt/log.rs
@@ -0,0 +1,87 @@
+//! The log lines and counters of a request's attempts.
+
+use policy::placement::Placement;
+use telemetry::{emit, events::GatewayEvent};
+use types::{InstanceId, Verdict};
+
+use super::session::Session;
+
+impl Session {
+    pub(super) fn log_placed(&self, placement: &Placement) {
+        let view = self.app.view.load();
+        emit(&GatewayEvent::RequestPlaced {
+            request_id: self.request.request_id.clone(),
+            attempt: self.attempts,
+            route: self.request.route.name.clone(),
+            upstream: self.request.upstream.clone(),
+            instance: placement.instance.clone(),
+            priority: self.request.priority.0,
+            predicted_ms: placement.predicted_ms as u64,
+            cached_tokens: placement.cached_tokens,
+            prompt_tokens: self.request.demand.prompt_tokens,
+            home_rank: placement.home_rank,
+            in_flight: placement.in_flight,
+            remaining_ms: self.remaining().as_millis() as u64,
+            config_version: self.request.config_version,
+            roster_revision: view.revision,
+            roster_age_ms: self.app.roster_age_ms(),
+        });
+    }
+
+    pub(super) fn log_broke(
+        &self,
+        instance: &InstanceId,
+        reason: &str,
+        verdict: Verdict,
+        last_id: Option<u64>,
+        after_ms: u64,
+    ) {
+        emit(&GatewayEvent::AttemptBroke {
+            request_id: self.request.request_id.clone(),
+            attempt: self.attempts,
+            instance: instance.clone(),
+            reason: reason.into(),
+            verdict,
+            after_ms,
+            last_event: last_id.unwrap_or_default(),
+        });
+        metrics::counter!("limpetgw_gateway_attempts_broken_total", "verdict" => verdict.as_str())
+            .increment(1);
+    }
+
+    /// Logs a whole answer.
+    pub(crate) fn log_answered(&self, status: u16, events: u32) {
+        let total_ms = self.age_ms();
+        let first_ms = match self.first_ms {
+            0 => total_ms,
+            first_ms => first_ms,
+        };
+        emit(&GatewayEvent::RequestAnswered {
+            request_id: self.request.request_id.clone(),
+            status,
+            attempts: self.attempts,
+            events,
+            first_ms,
+            total_ms,
+        });
+        metrics::counter!("limpetgw_gateway_answers_total", "status" => status.to_string())
+            .increment(1);
+        metrics::histogram!("limpetgw_gateway_first_event_seconds")
+            .record(first_ms as f64 / 1_000.0);
+    }
+
+    /// Notes that the first event goes to the caller now.
+    pub(crate) fn note_first_event(&mut self) {
+        self.first_ms = self.age_ms();
+    }
+
+    /// Logs that the caller hung up.
+    pub(crate) fn log_caller_left(&self, events: u32) {
+        emit(&GatewayEvent::CallerLeft {
+            request_id: self.request.request_id.clone(),
+            events,
+            total_ms: self.age_ms(),
+        });
+        metrics::counter!("limpetgw_gateway_callers_gone_total").increment(1);
+    }
+}
