--- a/crates/gateway/src/answer/mod.rs
+++ b/crates/gateway/src/answer/mod.rs
@@ -19,11 +19,8 @@
         if is_of_connection(name.as_str()) {
             continue;
         }
-        let Ok(text) = value.to_str() else {
-            continue;
-        };
         conn.response_headers_mut()
-            .append(name.as_str().to_owned(), text.to_owned());
+            .append(name.as_str().to_owned(), value.as_bytes().to_vec());
     }
     conn
 }
--- a/crates/gateway/src/answer/stream.rs
+++ b/crates/gateway/src/answer/stream.rs
@@ -13,7 +13,10 @@
 use telemetry::{emit, events::GatewayEvent};
 
 use super::Events;
-use crate::attempt::{Exchange, Session};
+use crate::{
+    attempt::{Exchange, Session},
+    failure::Failure,
+};
 
 /// Pause after which, and then how often, a stream looks whether its instance
 /// can still be reached. Callers give up after two seconds or more without an
@@ -27,8 +30,9 @@
     pub(crate) events: Events,
 }
 
-/// What a reopened stream goes on with, or nothing if it can't.
-type Reopened = Pin<Box<dyn Future<Output = (Session, Option<(Exchange, Events)>)> + Send>>;
+/// What a reopened stream goes on with, or why it can't.
+type Reopened =
+    Pin<Box<dyn Future<Output = (Session, Result<(Exchange, Events), Failure>)> + Send>>;
 
 /// Where the events come from.
 enum Source {
@@ -126,12 +130,12 @@
         };
         let (session, reopened) = ready!(reopening.as_mut().poll(cx));
         match reopened {
-            Some((exchange, events)) => {
+            Ok((exchange, events)) => {
                 self.events = events;
                 self.source = Source::Running(Box::new((session, exchange)));
             }
-            None => {
-                log_cut(&session, &self.events, "it could not be opened again");
+            Err(failure) => {
+                log_cut(&session, &self.events, &failure.reason);
                 self.source = Source::Broken;
             }
         }
@@ -157,7 +161,7 @@
         let after = events.last_id();
         self.events = Events::after(after);
         self.source = Source::Reopening(Box::pin(async move {
-            let reopened = session.open_events(events).await.ok();
+            let reopened = session.open_events(events).await;
             (session, reopened)
         }));
     }
