Ask once whether an attempt is left

The check of attempts and time stood three times in the patience of a session; it is one function now. Placer::members had no caller. Behaviour is the same: cargo test -p platform, 80 passed; clippy clean on gateway and policy.

--- a/crates/gateway/src/attempt/patience.rs
+++ b/crates/gateway/src/attempt/patience.rs
@@ -84,9 +84,12 @@
 
     /// Whether another attempt would be allowed if this one is given up.
     pub(super) fn has_alternative(&self) -> bool {
-        self.attempts < self.request.route.attempts_max
-            && self.request.route.repeatable != Repeatable::Never
-            && self.remaining() > ATTEMPT_TIME_MIN
+        self.request.route.repeatable != Repeatable::Never && self.has_attempt_left()
+    }
+
+    /// Whether the route's attempts and the time left allow one more.
+    fn has_attempt_left(&self) -> bool {
+        self.attempts < self.request.route.attempts_max && self.remaining() > ATTEMPT_TIME_MIN
     }
 
     /// Whether a stream that has stalled may be taken away from its instance:
@@ -97,17 +100,17 @@
         if self.is_silent(now, instance) {
             self.app.probe(&self.request.upstream, instance);
         }
-        self.may_resume_if(self.has_alternative()) && self.is_lost(now, instance)
+        self.may_resume_elsewhere() && self.is_lost(now, instance)
     }
 
-    pub(super) fn may_resume_if(&self, allowed: bool) -> bool {
-        allowed && self.request.route.repeatable == Repeatable::ByResuming
+    fn may_resume_elsewhere(&self) -> bool {
+        self.request.route.repeatable == Repeatable::ByResuming && self.has_attempt_left()
     }
 
     /// Whether a broken stream may go on at another instance; takes the
     /// attempt from the budget.
     pub(crate) fn may_resume(&mut self) -> bool {
-        self.may_resume_if(self.has_alternative()) && self.may_try_again(Verdict::MayHaveRun)
+        self.may_resume_elsewhere() && self.may_try_again(Verdict::MayHaveRun)
     }
 
     /// Whether the request may be sent once more; takes it from the budget.
@@ -118,8 +121,7 @@
         };
         let now = self.app.now();
         repeatable
-            && self.attempts < self.request.route.attempts_max
-            && self.remaining() > ATTEMPT_TIME_MIN
+            && self.has_attempt_left()
             && self
                 .app
                 .with_budget(&self.request.upstream, |budget| budget.try_take(now))
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -148,11 +148,6 @@
         }
     }
 
-    /// Members known.
-    pub fn members(&self) -> usize {
-        self.instances.len()
-    }
-
     /// Chooses an instance that is not in `exclude`; `None` if there is none
     /// that may be tried.
     pub fn choose(
