Bound endless bytes from an instance in head, framing and body

Cause: the HTTP parser takes interim responses, and the zeros or spaces of a chunk size, without end and without a result; an event buffer that only gets events delivered before never became ready, so one stream kept its executor thread to itself; each body could take 4 MB and each event 1 MB, which hundreds of them together do not have.

Ruled out: head, headers, chunk extensions and trailers are bounded by the HTTP library.

Change: the transport fails after 128 KiB that complete no head and no body data; an event buffer fails after 128 KiB without a new event; a stream of more than twice as many events as the caller allows tokens (and 64) is broken off; bodies beyond 64 KiB share a pool of 16 MiB.

The stand-in instance of the soak draws both kinds.

--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -21,7 +21,8 @@
 use types::{InstanceId, TimeMs, UpstreamName};
 
 use crate::{
-    header_codec::HeaderCodec, live::LiveSettings, routing::Routing, upstream::Pool, Settings,
+    header_codec::HeaderCodec, live::LiveSettings, response::LargeBodyPool, routing::Routing,
+    upstream::Pool, Settings,
 };
 
 /// Time after a connection probe before the same instance is probed again.
@@ -55,6 +56,7 @@
     pub(crate) view: ArcSwap<RosterView>,
     pub(crate) roster: Mutex<Roster>,
     pub(crate) pool: Pool,
+    pub(crate) large_bodies: LargeBodyPool,
     pub(crate) lifecycle: Lifecycle,
     placers: Mutex<IndexMap<UpstreamName, Placer>>,
     retry_budgets: Mutex<IndexMap<UpstreamName, WindowedRetryBudget>>,
@@ -79,6 +81,7 @@
             view: ArcSwap::default(),
             roster: Mutex::default(),
             pool: Pool::default(),
+            large_bodies: LargeBodyPool::default(),
             lifecycle: Lifecycle::default(),
             placers: Mutex::default(),
             retry_budgets: Mutex::default(),
--- a/crates/gateway/src/attempt/receive.rs
+++ b/crates/gateway/src/attempt/receive.rs
@@ -132,7 +132,8 @@
                 false => InstanceFault::Full,
             };
             // A connection can be reused only after the body was read.
-            if read_response_body(&mut exchange.response).await.is_ok() {
+            let body = read_response_body(&mut exchange.response, &self.app.large_bodies).await;
+            if body.is_ok() {
                 exchange.release_connection(&self.app);
             }
             return Err(AttemptError {
@@ -159,7 +160,7 @@
             let events = std::mem::take(events);
             return Ok(Received::Streaming(Box::new(exchange), events));
         }
-        let body = read_response_body(&mut exchange.response)
+        let body = read_response_body(&mut exchange.response, &self.app.large_bodies)
             .await
             .map_err(|error| AttemptError::failed(error.to_string()))?;
         let response = BufferedResponse {
--- a/crates/gateway/src/response/event_buffer.rs
+++ b/crates/gateway/src/response/event_buffer.rs
@@ -4,13 +4,16 @@
 
 use memchr::memmem;
 
-/// Maximum size of an incomplete event in the buffer, in bytes.
-const EVENT_MAX_BYTES: usize = 1 << 20;
+/// Maximum number of bytes that may arrive without completing a new event. Also
+/// bounds the memory of an incomplete event: the smallest machines have 88 MB
+/// for some hundred streams.
+const EVENT_MAX_BYTES: usize = 128 << 10;
 
-/// An event exceeds [`EVENT_MAX_BYTES`].
+/// More than [`EVENT_MAX_BYTES`] arrived without a new complete event: an event
+/// is too large, or the instance repeats events that were already delivered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("an event is larger than {EVENT_MAX_BYTES} bytes")]
-pub(crate) struct EventTooLarge;
+#[error("no new event is complete after {EVENT_MAX_BYTES} bytes")]
+pub(crate) struct NoNewEvent;
 
 /// Complete events of one response, over any number of attempts.
 ///
@@ -23,6 +26,8 @@
 pub(crate) struct EventBuffer {
     /// Bytes of an incomplete event.
     partial: Vec<u8>,
+    /// Bytes received since the last new event was complete.
+    bytes_since_event: usize,
     /// Complete events; the first `consumed` bytes were already relayed.
     ready: Vec<u8>,
     consumed: usize,
@@ -43,8 +48,9 @@
     ///
     /// # Errors
     ///
-    /// [`EventTooLarge`] if an incomplete event exceeds [`EVENT_MAX_BYTES`].
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<(), EventTooLarge> {
+    /// [`NoNewEvent`] if [`EVENT_MAX_BYTES`] arrived without a new event.
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<(), NoNewEvent> {
+        let count_before = self.count;
         // The end of an event may be split across two reads.
         let mut search = self.partial.len().saturating_sub(3);
         self.partial.extend_from_slice(bytes);
@@ -55,8 +61,12 @@
             search = end;
         }
         self.partial.drain(..start);
-        match self.partial.len() > EVENT_MAX_BYTES {
-            true => Err(EventTooLarge),
+        self.bytes_since_event = match self.count > count_before {
+            true => self.partial.len(),
+            false => self.bytes_since_event + bytes.len(),
+        };
+        match self.bytes_since_event > EVENT_MAX_BYTES {
+            true => Err(NoNewEvent),
             false => Ok(()),
         }
     }
@@ -65,6 +75,7 @@
     /// the last complete one.
     pub(crate) fn discard_partial(&mut self) {
         self.partial.clear();
+        self.bytes_since_event = 0;
     }
 
     /// Returns whether the received bytes end with a complete event.
--- a/crates/gateway/src/response/stream.rs
+++ b/crates/gateway/src/response/stream.rs
@@ -24,6 +24,14 @@
 /// seconds without an event after which callers disconnect.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(600);
 
+/// Factor by which the number of events may exceed the number of tokens that the
+/// caller allows. Each event holds at least one token.
+const EVENTS_PER_TOKEN_MAX: u32 = 2;
+
+/// Events that any stream may have in addition, such as comments and the end
+/// marker.
+const EXTRA_EVENTS_MAX: u32 = 64;
+
 /// A stream whose first event has arrived.
 pub(crate) struct OpenedStream {
     pub(crate) session: Session,
@@ -120,8 +128,13 @@
         match data {
             Some(Ok(bytes)) => {
                 exchange.on_next_event();
-                if let Err(error) = self.events.push(&bytes) {
+                let pushed = self.events.push(&bytes);
+                let events_max = events_max(session.request.demand.output_tokens);
+                if let Err(error) = pushed {
                     self.resume_or_abort(&error.to_string());
+                } else if events_max.is_some_and(|max| self.events.count() > max) {
+                    // Not resumed: the events relayed so far are not a response.
+                    self.abort("the stream has more events than the caller allows tokens");
                 }
             }
             Some(Err(error)) => self.resume_or_abort(&error.to_string()),
@@ -200,6 +213,16 @@
     }
 }
 
+/// Returns the largest plausible number of events in a stream; `None` if the
+/// request does not limit the length of the response.
+fn events_max(output_tokens: u32) -> Option<u32> {
+    (output_tokens > 0).then(|| {
+        output_tokens
+            .saturating_mul(EVENTS_PER_TOKEN_MAX)
+            .saturating_add(EXTRA_EVENTS_MAX)
+    })
+}
+
 impl AsyncRead for StreamBody {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -19,14 +19,22 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
+use super::limited_stream::{LimitedStream, UnproductiveBytes};
+
 /// Future that performs the I/O of a connection. The task that uses the
 /// connection polls it, so that an exchange needs no second task.
-type Driver = http1::Connection<FuturesIo<TcpStream>, Full<Bytes>>;
+type Driver = http1::Connection<FuturesIo<LimitedStream>, Full<Bytes>>;
 
 /// Maximum read buffer of one connection, in bytes: enough for a large head or
 /// a few events.
 const BUFFER_MAX_BYTES: usize = 64 << 10;
 
+/// Maximum number of bytes that an instance may send without completing a
+/// response head or sending body data. The HTTP library bounds the final head
+/// and the chunk extensions, but neither interim responses nor the padding of a
+/// chunk size. One full read buffer may arrive ahead of the data before it.
+const UNPRODUCTIVE_MAX_BYTES: usize = 2 * BUFFER_MAX_BYTES;
+
 /// Fraction of the keep-alive time announced by an instance during which an
 /// idle connection is reused.
 const KEEP_ALIVE_FRACTION: f64 = 0.8;
@@ -60,6 +68,7 @@
 pub(crate) struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: Pin<Box<Driver>>,
+    unproductive: UnproductiveBytes,
     idle_since: Instant,
     idle_max: Duration,
 }
@@ -77,6 +86,8 @@
         };
         let stream = TcpStream::connect(addr).or(timed_out).await?;
         stream.set_nodelay(true)?;
+        let unproductive = UnproductiveBytes::default();
+        let stream = LimitedStream::new(stream, UNPRODUCTIVE_MAX_BYTES, unproductive.clone());
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(BUFFER_MAX_BYTES)
             .handshake(FuturesIo::new(stream))
@@ -85,6 +96,7 @@
         Ok(Self {
             sender,
             driver: Box::pin(driver),
+            unproductive,
             idle_since: Instant::now(),
             idle_max: DEFAULT_IDLE_MAX,
         })
@@ -112,6 +124,7 @@
         mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Result<Response, NotSent>, ExchangeError> {
+        self.unproductive.reset();
         let mut response = pin!(self.sender.try_send_request(request));
         let mut driver = Some(self.driver);
         let received = poll_fn(|cx| {
@@ -122,6 +135,7 @@
         match received {
             Ok(response) => {
                 let (head, body) = response.into_parts();
+                self.unproductive.reset();
                 Ok(Ok(Response {
                     status: head.status.as_u16(),
                     headers: head.headers,
@@ -129,6 +143,7 @@
                     ended: false,
                     sender: self.sender,
                     driver,
+                    unproductive: self.unproductive,
                 }))
             }
             Err(mut error) => match error.take_message() {
@@ -149,6 +164,7 @@
     sender: http1::SendRequest<Full<Bytes>>,
     /// `None` once the connection is closed.
     driver: Option<Pin<Box<Driver>>>,
+    unproductive: UnproductiveBytes,
 }
 
 impl Response {
@@ -179,6 +195,7 @@
                 }
                 Poll::Ready(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
+                        self.unproductive.reset();
                         return Poll::Ready(Some(Ok(data)));
                     }
                 }
@@ -199,6 +216,7 @@
         Some(Connection {
             sender: self.sender,
             driver,
+            unproductive: self.unproductive,
             idle_since: Instant::now(),
             idle_max: idle_max(&self.headers),
         })
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -8,6 +8,7 @@
 //! connection API directly.
 
 mod connection;
+mod limited_stream;
 mod pool;
 
 pub(crate) use connection::{Connection, ExchangeError, NotSent, Response};
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -233,6 +233,8 @@
         "sends-extra",
         "full",
         "hangs",
+        "endless-head",
+        "endless-body",
     ];
     let gateway = rng.random_range(0..size.gateways);
     let instance = rng.random_range(0..size.instances());
