Log a prompt's prefix, target and longest pause

Cause: where a large fleet loses requests could not be told from its logs: they had neither the target nor the pauses, nor which prompts share a prefix.

Change: RequestPlaced names the prefix, its tokens and the target, RequestAnswered the longest pause and the one allowed.

--- a/crates/gateway/src/attempt/log.rs
+++ b/crates/gateway/src/attempt/log.rs
@@ -20,6 +20,9 @@
             predicted_ms: placement.predicted_ms as u64,
             cached_tokens: placement.cached_tokens,
             prompt_tokens: self.request.demand.prompt_tokens,
+            prefix: self.request.demand.prefix_hash(),
+            shared_tokens: self.request.demand.shared_tokens(),
+            target_ms: self.request.demand.target_ms,
             home_rank: placement.home_rank,
             in_flight: placement.in_flight,
             remaining_ms: self.remaining().as_millis() as u64,
@@ -67,6 +70,8 @@
             events,
             first_ms,
             total_ms,
+            longest_pause_ms: self.longest_pause_ms,
+            pause_target_ms: self.request.demand.pause_target_ms,
         });
         metrics::counter!("limpetgw_gateway_answers_total", "status" => status.to_string())
             .increment(1);
@@ -78,6 +83,14 @@
     /// the caller.
     pub(crate) fn record_first_event(&mut self) {
         self.first_ms = self.age_ms();
+        self.event_at_ms = self.first_ms;
+    }
+
+    /// Records data received after the first event.
+    pub(crate) fn record_next_event(&mut self) {
+        let at_ms = self.age_ms();
+        self.longest_pause_ms = self.longest_pause_ms.max(at_ms - self.event_at_ms);
+        self.event_at_ms = at_ms;
     }
 
     /// Logs and counts a caller that disconnected before the response was
--- a/crates/gateway/src/attempt/session.rs
+++ b/crates/gateway/src/attempt/session.rs
@@ -61,6 +61,11 @@
     pub(super) may_have_run: bool,
     /// Time from receipt until the first event, in milliseconds; 0 before it.
     pub(super) first_ms: u64,
+    /// Time from receipt until the last event, in milliseconds; 0 before the
+    /// first one.
+    pub(super) event_at_ms: u64,
+    /// Longest time between two events, in milliseconds.
+    pub(super) longest_pause_ms: u64,
     /// Keeps a drain waiting until the request has ended.
     _in_flight: InFlight,
 }
@@ -76,6 +81,8 @@
             excluded: Vec::new(),
             may_have_run: false,
             first_ms: 0,
+            event_at_ms: 0,
+            longest_pause_ms: 0,
             _in_flight: in_flight,
         }
     }
--- a/crates/gateway/src/response/stream.rs
+++ b/crates/gateway/src/response/stream.rs
@@ -128,6 +128,7 @@
         match data {
             Some(Ok(bytes)) => {
                 exchange.on_next_event();
+                session.record_next_event();
                 let pushed = self.events.push(&bytes);
                 let events_max = events_max(session.request.demand.output_tokens);
                 if let Err(error) = pushed {
--- a/crates/policy/src/placement/home.rs
+++ b/crates/policy/src/placement/home.rs
@@ -11,6 +11,18 @@
 
 use super::Part;
 
+/// Returns a hash of shared parts, 0 if there are none.
+pub(super) fn prefix_hash(shared: &[Part]) -> u64 {
+    if shared.is_empty() {
+        return 0;
+    }
+    let ids: Vec<u8> = shared
+        .iter()
+        .flat_map(|part| part.id.to_le_bytes())
+        .collect();
+    rapidhash_v3(&ids)
+}
+
 /// Returns the position of each instance in the order of homes, 0 for the
 /// first. Instances of the prompt's own lane come before the others. Without
 /// shared parts, all instances have position 0.
@@ -21,14 +33,10 @@
     if shared.is_empty() {
         return instances.map(|_| 0).collect();
     }
-    let ids: Vec<u8> = shared
-        .iter()
-        .flat_map(|part| part.id.to_le_bytes())
-        .collect();
-    let prompt_hash = rapidhash_v3(&ids).to_le_bytes();
+    let prefix_hash = prefix_hash(shared).to_le_bytes();
     let scores: Vec<(bool, u64)> = instances
         .map(|(instance, is_own_lane)| {
-            let score = rapidhash_v3(&[&prompt_hash, instance.as_str().as_bytes()].concat());
+            let score = rapidhash_v3(&[&prefix_hash, instance.as_str().as_bytes()].concat());
             (is_own_lane, score)
         })
         .collect();
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -69,9 +69,16 @@
         }
     }
 
-    fn shared_tokens(&self) -> u32 {
+    /// Returns the length of the shared parts in tokens.
+    pub fn shared_tokens(&self) -> u32 {
         self.shared().iter().map(|part| part.tokens).sum()
     }
+
+    /// Returns a hash of the shared parts, which determines the order of the
+    /// prompt's homes; 0 without shared parts.
+    pub fn prefix_hash(&self) -> u64 {
+        home::prefix_hash(self.shared())
+    }
 }
 
 /// An instance that requests can be placed on.
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -38,6 +38,13 @@
             cached_tokens: u32,
             /// Prompt length in tokens.
             prompt_tokens: u32,
+            /// Hash of the shared parts of the prompt, 0 without shared parts. Prompts
+            /// with the same hash have the same order of preferred instances.
+            prefix: u64,
+            /// Tokens in the shared parts of the prompt.
+            shared_tokens: u32,
+            /// Target of the class for the time to the first event, in milliseconds.
+            target_ms: u32,
             /// Rank of the instance among the preferred instances of the prompt's
             /// prefix, from 0.
             home_rank: usize,
@@ -65,6 +72,11 @@
             first_ms: u64,
             /// Time to the end of the response, in milliseconds.
             total_ms: u64,
+            /// Longest pause between two events of a stream, in milliseconds.
+            longest_pause_ms: u64,
+            /// Longest pause that the class allows, in milliseconds; 0 if the response
+            /// is not a stream.
+            pause_target_ms: u32,
         } = "A complete response was delivered.", "Nothing.";
         5003 Warn AttemptBroke {
             /// Request id that the caller sent.
