Watch the store for 28 s, with cheap checks beside each watch

Change: a watch waits for 28 s. Connections to the store get keep-alive probes.

What is left are changes: each wakes every gateway.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -56,4 +56,9 @@
         after: u64,
         wait: Duration,
     ) -> BoxFuture<'_, Result<WatchResult<T>, StoreError>>;
+
+    /// Returns the changes after a revision that a replica of the store already
+    /// has, without waiting. They may be seconds old, but the call is much
+    /// cheaper for the store than a watch.
+    fn check(&self, after: u64) -> BoxFuture<'_, Result<WatchResult<T>, StoreError>>;
 }
--- a/crates/gateway/src/feed_watcher.rs
+++ b/crates/gateway/src/feed_watcher.rs
@@ -1,20 +1,30 @@
 //! Keeps a consumer up to date with a feed: lists once, then watches for
 //! changes from that revision, with rate limiting and backoff.
+//!
+//! Load pattern: hundreds of processes watch a store that changes rarely. Short
+//! watches would notice a lost response soon, but cost the store more calls than
+//! all changes. Watches are therefore long, and cheap checks beside them show
+//! whether the store still answers and whether it has changes that the watch did
+//! not deliver.
 
 use std::{
     sync::Arc,
     time::{Duration, Instant},
 };
 
+use futures_lite::FutureExt;
 use store::StoreError;
 use telemetry::{emit, events::GatewayEvent};
 
 use crate::feed::{Feed, Listing, WatchResult};
 
-/// Longest wait of one watch call. A dead connection is detected after this
-/// time plus the client's timeout margin; together they must stay below 3 s,
-/// within which a process must reconnect after an outage.
-const WATCH_WAIT: Duration = Duration::from_secs(2);
+/// Longest wait of one watch call. The store allows 30 s.
+const WATCH_WAIT: Duration = Duration::from_secs(28);
+
+/// Interval between checks beside a waiting watch. A lost response is detected
+/// after this time plus the client's timeout margin; together they must stay
+/// below 3 s, within which a process must reconnect after an outage.
+const CHECK_INTERVAL: Duration = Duration::from_millis(1_500);
 
 /// Shortest time between the starts of two calls. Batches changes that arrive
 /// together and prevents a busy loop when the store returns empty responses
@@ -63,7 +73,7 @@
             }
             continue;
         };
-        match feed.watch(after, WATCH_WAIT).await {
+        match watch_with_checks(feed.as_ref(), feed_name, after).await {
             Ok(WatchResult::Changes(listing)) => {
                 pacer.on_success();
                 revision = Some(listing.revision.max(after));
@@ -83,6 +93,45 @@
     }
 }
 
+/// Waits for changes after a revision. Returns early with the changes or the
+/// error of a check if the store does not answer, or has changes that the watch
+/// did not deliver.
+async fn watch_with_checks<T>(
+    feed: &dyn Feed<T>,
+    feed_name: &'static str,
+    after: u64,
+) -> Result<WatchResult<T>, StoreError> {
+    let checked = async {
+        loop {
+            smol::Timer::after(CHECK_INTERVAL).await;
+            match feed.check(after).await {
+                Ok(WatchResult::Changes(listing)) if listing.entries.is_empty() => {}
+                found => {
+                    emit(&GatewayEvent::WatchAbandoned {
+                        feed: feed_name.into(),
+                        after,
+                        reason: check_result(&found),
+                    });
+                    return found;
+                }
+            }
+        }
+    };
+    feed.watch(after, WATCH_WAIT).or(checked).await
+}
+
+fn check_result<T>(found: &Result<WatchResult<T>, StoreError>) -> String {
+    match found {
+        Ok(WatchResult::Changes(listing)) => format!(
+            "{} changes up to revision {} were not delivered",
+            listing.entries.len(),
+            listing.revision
+        ),
+        Ok(WatchResult::HistoryLost) => "the store lost the history".into(),
+        Err(error) => error.to_string(),
+    }
+}
+
 /// Limits the call rate of one watched feed and logs outages.
 struct CallPacer {
     feed_name: &'static str,
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -6,10 +6,10 @@
 use serde::de::DeserializeOwned;
 use trillium_client::{Client, Conn};
 use trillium_http::Method;
-use trillium_smol::ClientConfig;
 
 use crate::{
     api::StoreError,
+    connector::KeepaliveConnector,
     limiter::{CallKind, Limiter, RateLimits},
 };
 
@@ -42,7 +42,7 @@
     /// limited to `rates`.
     pub fn new(addr: &str, rates: RateLimits) -> Self {
         Self {
-            http: Client::new(ClientConfig::default().with_nodelay(true)),
+            http: Client::new(KeepaliveConnector::new()),
             addr: addr.into(),
             limiter: Arc::new(Limiter::new(rates)),
         }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod api;
 mod client;
+mod connector;
 mod http;
 mod limiter;
 
--- a/crates/store/src/limiter.rs
+++ b/crates/store/src/limiter.rs
@@ -28,6 +28,8 @@
     List,
     /// Waits for changes of objects.
     Watch,
+    /// Asks for changes of objects that a replica of the store already has.
+    Check,
     /// Reads the instance list, or waits for a change of it.
     Instances,
 }
@@ -40,6 +42,7 @@
             CallKind::Delete => "delete",
             CallKind::List => "list",
             CallKind::Watch => "watch",
+            CallKind::Check => "check",
             CallKind::Instances => "instances",
         }
     }
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -223,5 +223,14 @@
             error: String,
         } = "The settings file was reloaded; an invalid file changes nothing.",
             "Correct the file if there is an error.";
+        5023 Info WatchAbandoned {
+            /// Part of the platform's store that the gateway watches: routing or roster.
+            feed: String,
+            /// Store revision after which changes were awaited.
+            after: u64,
+            /// What a check beside the watch found.
+            reason: String,
+        } = "A watch was given up because a check beside it failed or found changes that the watch did not deliver.",
+            "Check the connection to the platform's store if it happens often.";
     }
 }
