--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -21,8 +21,8 @@
 use types::{InstanceId, TimeMs, UpstreamName};
 
 use crate::{
-    header_codec::HeaderCodec, live::LiveSettings, load_report::LoadReportCodec,
-    response::LargeBodyPool, routing::Routing, upstream::Pool, Settings,
+    header_codec::HeaderCodec, live::LiveSettings, response::LargeBodyPool, routing::Routing,
+    upstream::Pool, Settings,
 };
 
 /// Time after a connection probe before the same instance is probed again.
@@ -52,7 +52,6 @@
     pub(crate) settings: Settings,
     pub(crate) live: ArcSwap<LiveSettings>,
     pub(crate) header_codec: Arc<dyn HeaderCodec>,
-    pub(crate) load_reports: Arc<dyn LoadReportCodec>,
     pub(crate) routing: ArcSwap<Routing>,
     pub(crate) view: ArcSwap<RosterView>,
     pub(crate) roster: Mutex<Roster>,
@@ -73,16 +72,11 @@
 }
 
 impl App {
-    pub(crate) fn new(
-        settings: Settings,
-        header_codec: Arc<dyn HeaderCodec>,
-        load_reports: Arc<dyn LoadReportCodec>,
-    ) -> Self {
+    pub(crate) fn new(settings: Settings, header_codec: Arc<dyn HeaderCodec>) -> Self {
         Self {
             live: ArcSwap::from_pointee(settings.live),
             settings,
             header_codec,
-            load_reports,
             routing: ArcSwap::default(),
             view: ArcSwap::default(),
             roster: Mutex::default(),
--- a/crates/gateway/src/attempt/session.rs
+++ b/crates/gateway/src/attempt/session.rs
@@ -198,24 +198,6 @@
         }
     }
 
-    /// Asks the homes of the prompt for their load: the first one, and the others
-    /// if it is busy.
-    async fn ask_for_load(&self) {
-        for _ in 0..2 {
-            let now = self.app.now();
-            let request = &self.request;
-            let unreported = self.app.with_placer(&request.upstream, |placer| {
-                placer.unreported_homes(now, &request.demand, &self.excluded)
-            });
-            if unreported.is_empty() {
-                return;
-            }
-            self.app
-                .refresh_load_reports(&request.upstream, unreported)
-                .await;
-        }
-    }
-
     /// Chooses an instance and takes a connection to it, trying others if that
     /// fails.
     async fn connect(&mut self) -> Result<(Placement, LoadGuard, Connection, Lease), Failure> {
@@ -224,7 +206,6 @@
             if self.remaining() < ATTEMPT_TIME_MIN {
                 return Err(self.deadline_failure("the remaining time is too short for an attempt"));
             }
-            self.ask_for_load().await;
             let now = self.app.now();
             let view = self.app.view.load_full();
             let upstream = self.request.upstream.clone();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,7 +14,6 @@
 mod header_codec;
 mod headers;
 mod live;
-mod load_report;
 mod platform_sync;
 mod request;
 mod response;
@@ -27,7 +26,6 @@
 pub use feed::{Feed, FeedEntry, Listing, WatchResult};
 pub use header_codec::{HeaderCodec, RequestMeta, ResponseMeta, UpstreamRequestMeta};
 pub use live::{read_settings_file, FileSettings, LiveSettings, SettingsFileError};
-pub use load_report::LoadReportCodec;
 pub use server::{start, DrainHandle, PlatformAdapter, Running};
 pub use settings::{RetryBound, Settings};
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -143,7 +143,6 @@
     let method = Method::from_bytes(conn.method().as_str().as_bytes())
         .map_err(|_| Failure::not_run(ErrorCode::MalformedRequest, "invalid HTTP method"))?;
     let body = read_body(conn, &config.limits).await?;
-    let priority = config.priority(team.as_deref(), &route);
     let timeout = meta.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
     let demand = Demand {
         parts: meta.parts,
@@ -154,7 +153,6 @@
             ResponseMode::EventStream { event_gap_target } => to_millis(event_gap_target),
             ResponseMode::Buffered => 0,
         },
-        priority,
     };
     Ok(Request {
         request_id,
@@ -163,7 +161,7 @@
         headers: headers::without_hop_by_hop(headers),
         body,
         upstream: route.select_upstream(rand::random()).clone(),
-        priority,
+        priority: config.priority(team.as_deref(), &route),
         team: team.map(|team| team.name.clone()),
         route,
         demand,
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -11,8 +11,8 @@
 use trillium_smol::async_net::TcpListener;
 
 use crate::{
-    app::App, feed::Feed, guard::CallerGuardPolicy, header_codec::HeaderCodec, live,
-    load_report::LoadReportCodec, platform_sync, routing::Routing, serve, RunError, Settings,
+    app::App, feed::Feed, guard::CallerGuardPolicy, header_codec::HeaderCodec, live, platform_sync,
+    routing::Routing, serve, RunError, Settings,
 };
 
 /// Maximum size of a request head that the HTTP library parses, in bytes. Above
@@ -32,8 +32,6 @@
 pub struct PlatformAdapter {
     /// Decoder and encoder of the request metadata in headers.
     pub header_codec: Arc<dyn HeaderCodec>,
-    /// Decoder of the load reports of instances.
-    pub load_reports: Arc<dyn LoadReportCodec>,
     /// Source of routing configurations.
     pub routing: Arc<dyn Feed<Routing>>,
     /// Source of the instance list.
@@ -78,11 +76,7 @@
 pub async fn start(settings: Settings, platform: PlatformAdapter) -> Result<Running, RunError> {
     let (callers_socket, addr) = bind(settings.listen)?;
     let (operator_socket, operator_addr) = bind(settings.operator_listen)?;
-    let app = Arc::new(App::new(
-        settings,
-        platform.header_codec,
-        platform.load_reports,
-    ));
+    let app = Arc::new(App::new(settings, platform.header_codec));
     live::reload(&app, false);
     emit(&GatewayEvent::GatewayListening {
         instance: app.settings.instance.clone(),
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -1,26 +1,20 @@
 //! Pool of idle keep-alive connections to instances.
 
 use std::{
-    future::poll_fn,
     io,
     sync::{Arc, Mutex},
     time::Duration,
 };
 
-use http::{header, HeaderValue, Request};
-use http_body_util::Full;
 use indexmap::IndexMap;
 
-use super::connection::{Connection, ExchangeError};
+use super::connection::Connection;
 use crate::app::lock;
 
 /// Timeout for opening a connection. Reachable instances accept within
 /// milliseconds; after the timeout the request is sent to another instance.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// Maximum size of a document read with [`Pool::get`], in bytes.
-const DOCUMENT_MAX_BYTES: usize = 64 << 10;
-
 /// Error in taking a connection; nothing was sent.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum ConnectError {
@@ -32,29 +26,6 @@
     Failed(#[from] io::Error),
 }
 
-/// Error in reading a document from an instance.
-#[derive(Debug, thiserror::Error)]
-pub(crate) enum GetError {
-    /// No connection could be taken.
-    #[error(transparent)]
-    Connect(#[from] ConnectError),
-    /// The connection failed during the exchange.
-    #[error(transparent)]
-    Exchange(#[from] ExchangeError),
-    /// The pooled connection was closed before the request was sent.
-    #[error("the pooled connection was closed before the request was sent")]
-    NotSent,
-    /// Path or address cannot be sent.
-    #[error("the path or address cannot be sent")]
-    InvalidPath,
-    /// The instance answered with another status than 200.
-    #[error("the instance responded {0}")]
-    Status(u16),
-    /// The document is larger than [`DOCUMENT_MAX_BYTES`].
-    #[error("the document is larger than {DOCUMENT_MAX_BYTES} bytes")]
-    TooLarge,
-}
-
 /// Connections of this process to all instances, by address.
 #[derive(Default)]
 pub(crate) struct Pool {
@@ -119,38 +90,6 @@
         Ok(())
     }
 
-    /// Reads a small document from an instance.
-    ///
-    /// # Errors
-    ///
-    /// [`GetError`] if the instance can't be reached or doesn't answer 200 with
-    /// at most [`DOCUMENT_MAX_BYTES`].
-    pub(crate) async fn get(&self, addr: &Arc<str>, path: &str) -> Result<Vec<u8>, GetError> {
-        let (connection, lease) = self.take(addr, usize::MAX).await?;
-        let mut request = Request::new(Full::default());
-        *request.uri_mut() = path.parse().map_err(|_| GetError::InvalidPath)?;
-        let host = HeaderValue::from_str(addr).map_err(|_| GetError::InvalidPath)?;
-        request.headers_mut().insert(header::HOST, host);
-        let sent = connection.send(request).await?;
-        let Ok(mut response) = sent else {
-            return Err(GetError::NotSent);
-        };
-        if response.status != 200 {
-            return Err(GetError::Status(response.status));
-        }
-        let mut body = Vec::new();
-        while let Some(data) = poll_fn(|cx| response.poll_data(cx)).await {
-            body.extend_from_slice(&data?);
-            if body.len() > DOCUMENT_MAX_BYTES {
-                return Err(GetError::TooLarge);
-            }
-        }
-        if let Some(connection) = response.into_connection() {
-            self.put(lease, connection);
-        }
-        Ok(body)
-    }
-
     /// Returns a connection to the pool.
     pub(crate) fn put(&self, lease: Lease, connection: Connection) {
         if let Some(addr_pool) = lock(&self.addr_pools).get_mut(&lease.addr) {
--- a/crates/policy/src/placement/instance.rs
+++ b/crates/policy/src/placement/instance.rs
@@ -6,7 +6,6 @@
     cache::CachedParts,
     lanes::{ByLane, Lane},
     lateness::Lateness,
-    load_report::ReceivedReport,
     Demand, InstanceSpec, Placement,
 };
 
@@ -90,7 +89,6 @@
     /// Memory used by this entry's requests, in tokens.
     memory_tokens: f64,
     lateness: ByLane<Lateness>,
-    report: Option<ReceivedReport>,
     parts: CachedParts,
     failures: u32,
     backoff_until: TimeMs,
@@ -118,9 +116,6 @@
     /// Wait when memory or slots are exhausted: about the time until a running
     /// request ends.
     const MEMORY_WAIT_MS: f64 = 700.0;
-    /// Time to prefill a prompt of the long lane that waits at an instance: its
-    /// own part, and the shared one now and then.
-    const WAITING_PROMPT_MS: f64 = 130.0;
     /// Weight of a new lateness observation.
     const LATENESS_WEIGHT: f64 = 0.3;
     /// Half-life of an observed lateness: about the time in which a queue of
@@ -143,7 +138,6 @@
             pending_prefill_tokens: 0.0,
             memory_tokens: 0.0,
             lateness: ByLane::default(),
-            report: None,
             parts: CachedParts::default(),
             failures: 0,
             backoff_until: TimeMs(0),
@@ -186,11 +180,21 @@
         f64::from(shared.saturating_sub(cached_tokens)) / Self::PREFILL_TOKENS_PER_MS
     }
 
-    /// Returns the time until the first event of a request sent now, without the
-    /// wait for requests of other entries, in milliseconds.
-    pub(super) fn expected_ms(&self, demand: &Demand, cached_tokens: u32) -> f64 {
+    /// Predicts the time until the first event of a request sent now, in
+    /// milliseconds.
+    ///
+    /// `lane_lateness_ms` is the lateness over all instances in the prompt's
+    /// lane. It is the default for an instance without recent observations,
+    /// which is assumed to be as loaded as the others, not idle.
+    pub(super) fn predicted_ms(
+        &self,
+        now: TimeMs,
+        demand: &Demand,
+        cached_tokens: u32,
+        lane_lateness_ms: f64,
+    ) -> f64 {
         let running = f64::from(self.in_flight);
-        match self.capacity {
+        let expected_ms = match self.capacity {
             Capacity::Service { slots } => {
                 let rounds = running / f64::from(slots.max(1));
                 Self::SERVICE_REQUEST_MS * (1.0 + rounds)
@@ -214,40 +218,8 @@
                 };
                 Self::FIRST_EVENT_MS + prefill_ms + Self::RUNNING_REQUEST_MS * running + wait_ms
             }
-        }
-    }
-
-    /// Returns the wait for requests of other entries, in milliseconds: as the
-    /// instance reported it for a long prompt, otherwise as first events were
-    /// late.
-    ///
-    /// `lane_lateness_ms` is the lateness over all instances in the lane. It is
-    /// the default for an instance without recent observations, which is assumed
-    /// to be as loaded as the others, not idle.
-    pub(super) fn others_wait_ms(
-        &self,
-        now: TimeMs,
-        lane: Lane,
-        is_least_urgent: bool,
-        lane_lateness_ms: f64,
-    ) -> f64 {
-        match (lane, self.reported_wait_ms(now, is_least_urgent)) {
-            (Lane::Long, Some(wait_ms)) => wait_ms,
-            _ => self.lateness_ms(now, lane, lane_lateness_ms),
-        }
-    }
-
-    pub(super) fn on_report(&mut self, report: ReceivedReport) {
-        self.report = Some(report);
-    }
-
-    /// Returns the wait for the prompts that the instance reports, in
-    /// milliseconds; `None` without a recent report.
-    pub(super) fn reported_wait_ms(&self, now: TimeMs, is_least_urgent: bool) -> Option<f64> {
-        let report = self.report.as_ref();
-        report
-            .filter(|report| report.is_fresh(now))
-            .map(|report| report.wait_ms(is_least_urgent, Self::WAITING_PROMPT_MS))
+        };
+        expected_ms + self.lateness_ms(now, Lane::of(demand), lane_lateness_ms)
     }
 
     pub(super) fn on_sent(
@@ -255,6 +227,7 @@
         now: TimeMs,
         demand: &Demand,
         placement: &Placement,
+        lane_lateness_ms: f64,
     ) -> Ticket {
         if self.awaiting_first_event == 0 {
             self.awaiting_since = now;
@@ -274,7 +247,7 @@
             waiting_tokens: (lane == Lane::Long).then_some(pending_prefill_tokens),
             pending_prefill_tokens,
             memory_tokens,
-            predicted_ms: placement.predicted_ms - placement.others_wait_ms,
+            predicted_ms: placement.predicted_ms - self.lateness_ms(now, lane, lane_lateness_ms),
             sent_at: now,
             event_at: now,
             pause_target_ms: demand.pause_target_ms,
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -17,24 +17,21 @@
 mod instance;
 mod lanes;
 mod lateness;
-mod load_report;
 mod overload;
 
 use std::sync::Arc;
 
 use indexmap::IndexMap;
-use types::{InstanceId, Priority, TimeMs};
+use types::{InstanceId, TimeMs};
 
 pub use instance::{Capacity, Ticket};
 pub use lanes::LaneSplit;
-pub use load_report::LoadReport;
 pub use overload::{Overload, Urgency};
 
 use home::home_ranks;
 use instance::TrackedInstance;
 use lanes::{ByLane, Lane, Lanes};
 use lateness::Lateness;
-use load_report::ReceivedReport;
 use overload::OverloadControl;
 
 /// A contiguous part of a prompt, such as a system prompt or a document.
@@ -61,9 +58,6 @@
     /// Target for the longest pause between two events, in milliseconds; 0 if
     /// the answer is not a stream.
     pub pause_target_ms: u32,
-    /// Priority among the requests of an instance; higher values are served
-    /// first.
-    pub priority: Priority,
 }
 
 impl Demand {
@@ -105,8 +99,6 @@
     pub instance: InstanceId,
     /// Predicted time until the first event, in milliseconds.
     pub predicted_ms: f64,
-    /// Part of `predicted_ms` that is the wait for requests of other entries.
-    pub others_wait_ms: f64,
     /// Prompt tokens that need no prefill, as estimated by this entry.
     pub cached_tokens: u32,
     /// Position of the instance in the prompt's order of homes among the usable
@@ -177,12 +169,6 @@
     /// silence: where all queues are long, silence is a weak sign of a fault.
     const HANG_LATENESS_FACTOR: f64 = 4.0;
 
-    /// Number of homes among which a long prompt chooses by their reports.
-    const REPORTING_HOMES: usize = 3;
-    /// Wait at the first home up to which no other home is asked: less than it
-    /// takes to prefill a shared part again.
-    const HOME_WAIT_MS: f64 = 150.0;
-
     /// Replaces the members. Statistics of members with unchanged incarnation
     /// are kept.
     pub fn set_members(&mut self, now: TimeMs, members: &[InstanceSpec]) {
@@ -241,7 +227,6 @@
             + excess_lateness_ms / Self::REDUNDANT_PREFILL_LATENESS_MS;
         let lane = Lane::of(demand);
         let lane_lateness_ms = self.lane_lateness_ms(now, lane);
-        let is_least_urgent = self.overload_control.is_least_urgent(demand.priority);
         let candidates: Vec<(&InstanceId, &TrackedInstance, bool)> = self
             .instances
             .iter()
@@ -263,9 +248,7 @@
         let mut best: Option<(f64, Placement)> = None;
         for ((instance, tracked, is_own_lane), home_rank) in candidates.into_iter().zip(ranks) {
             let cached_tokens = tracked.cached_tokens(now, demand, home_rank);
-            let others_wait_ms =
-                tracked.others_wait_ms(now, lane, is_least_urgent, lane_lateness_ms);
-            let predicted_ms = tracked.expected_ms(demand, cached_tokens) + others_wait_ms;
+            let predicted_ms = tracked.predicted_ms(now, demand, cached_tokens, lane_lateness_ms);
             let other_lane_penalty_ms = match is_own_lane {
                 true => 0.0,
                 false => Lanes::other_lane_penalty_ms(lane),
@@ -278,7 +261,6 @@
                 let placement = Placement {
                     instance: instance.clone(),
                     predicted_ms,
-                    others_wait_ms,
                     cached_tokens,
                     home_rank,
                     in_flight: tracked.in_flight(),
@@ -289,68 +271,6 @@
         best.map(|(_, placement)| placement)
     }
 
-    /// Returns the instances whose load should be asked for before this request
-    /// is placed: the first home, and the next ones if the first is busy. Empty
-    /// for short prompts and if all reports are recent.
-    pub fn unreported_homes(
-        &self,
-        now: TimeMs,
-        demand: &Demand,
-        exclude: &[InstanceId],
-    ) -> Vec<InstanceId> {
-        if Lane::of(demand) == Lane::Short || demand.shared().is_empty() {
-            return Vec::new();
-        }
-        let is_least_urgent = self.overload_control.is_least_urgent(demand.priority);
-        let usable: Vec<(&InstanceId, &TrackedInstance, bool)> = self
-            .instances
-            .iter()
-            .enumerate()
-            .filter(|(_, (instance, tracked))| {
-                !exclude.contains(instance) && tracked.is_usable(now)
-            })
-            .map(|(index, (instance, tracked))| {
-                (instance, tracked, self.lanes.is_own_lane(index, Lane::Long))
-            })
-            .collect();
-        let ranks = home_ranks(
-            usable
-                .iter()
-                .map(|(instance, _, is_own)| (*instance, *is_own)),
-            demand.shared(),
-        );
-        let mut homes: Vec<(usize, &InstanceId, &TrackedInstance)> = usable
-            .into_iter()
-            .zip(ranks)
-            .filter(|(_, rank)| *rank < Self::REPORTING_HOMES)
-            .map(|((instance, tracked, _), rank)| (rank, instance, tracked))
-            .collect();
-        homes.sort_unstable_by_key(|(rank, ..)| *rank);
-        let is_first_idle = homes.first().is_some_and(|(_, _, first)| {
-            first
-                .reported_wait_ms(now, is_least_urgent)
-                .is_none_or(|wait_ms| wait_ms <= Self::HOME_WAIT_MS)
-        });
-        let asked = match is_first_idle {
-            true => 1,
-            false => homes.len(),
-        };
-        homes
-            .into_iter()
-            .take(asked)
-            .filter(|(_, _, tracked)| tracked.reported_wait_ms(now, is_least_urgent).is_none())
-            .map(|(_, instance, _)| instance.clone())
-            .collect()
-    }
-
-    /// Records what an instance reports about its load; `None` if it did not
-    /// answer in time.
-    pub fn on_report(&mut self, now: TimeMs, instance: &InstanceId, report: Option<LoadReport>) {
-        if let Some(tracked) = self.instances.get_mut(instance) {
-            tracked.on_report(ReceivedReport::new(now, report));
-        }
-    }
-
     /// Returns the current division of the instances between short and long
     /// prompts.
     pub fn lane_split(&self) -> LaneSplit {
@@ -363,10 +283,11 @@
         if !demand.parts.is_empty() {
             self.lanes.record_prompt(now, demand);
         }
+        let lateness_ms = self.lane_lateness_ms(now, Lane::of(demand));
         let Some(tracked) = self.instances.get_mut(&placement.instance) else {
             return Ticket::default();
         };
-        let ticket = tracked.on_sent(now, demand, placement);
+        let ticket = tracked.on_sent(now, demand, placement, lateness_ms);
         if let Some(tokens) = ticket.waiting_tokens() {
             self.overload_control.on_sent(now, tokens);
         }
--- a/crates/policy/src/placement/overload.rs
+++ b/crates/policy/src/placement/overload.rs
@@ -150,11 +150,6 @@
         self.priorities.insert(priority, now);
         self.priorities
             .retain(|_, seen_at| now.since(*seen_at) < SEEN_RETENTION_MS);
-        self.is_least_urgent(priority)
-    }
-
-    /// Returns whether no lower priority than this one was seen recently.
-    pub(super) fn is_least_urgent(&self, priority: Priority) -> bool {
         self.priorities.keys().all(|other| *other >= priority)
     }
 
--- a/crates/policy/tests/support/prompts.rs
+++ b/crates/policy/tests/support/prompts.rs
@@ -285,7 +285,6 @@
         output_tokens: arrival.output_tokens,
         target_ms: arrival.target_ms as u32,
         pause_target_ms: arrival.pause_target_ms as u32,
-        priority: Priority(arrival.priority),
     }
 }
 
@@ -323,7 +322,6 @@
     Placement {
         instance: instance(engine),
         predicted_ms: 0.0,
-        others_wait_ms: 0.0,
         cached_tokens: 0,
         home_rank: 0,
         in_flight: 0,
