Compute the lane split from a hundred prompts at least

Cause: how many instances are reserved for short prompts follows from the tokens that a gateway placed with a half-life of 3 s, some twenty prompts at a hundred gateways, and from the last forty pauses it saw, less than a second's.

Ruled out: the short lane's size as such; alone, its streams pause too long in 5 %.

Change: recorded work decays by half in 3 s or in a hundred prompts, whichever is later; a pause counts 0.004 instead of 0.025; a new process assumes thirty requests instead of ten.

--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -198,7 +198,7 @@
         let mut placers = lock(&self.placers);
         for (upstream, placer) in placers.iter_mut() {
             if !usable.contains_key(upstream) {
-                placer.set_members(self.now(), &[]);
+                placer.set_members(&[]);
             }
         }
         let mut view = RosterView {
@@ -212,10 +212,7 @@
                 .iter()
                 .map(|member| instance_spec(member, memory_tokens))
                 .collect();
-            placers
-                .entry(upstream)
-                .or_default()
-                .set_members(self.now(), &specs);
+            placers.entry(upstream).or_default().set_members(&specs);
             view.usable += members.len();
             for member in members {
                 view.addrs.insert(member.instance, member.addr);
--- a/crates/policy/src/placement/lanes.rs
+++ b/crates/policy/src/placement/lanes.rs
@@ -33,27 +33,31 @@
 /// Bounds of the factor by which pauses change [`SHORT_LANE_WEIGHT`].
 const PAUSE_FACTOR_RANGE: std::ops::RangeInclusive<f64> = 0.3..=2.0;
 
-/// Weight of one pause in the moving average, which thus covers about forty
-/// pauses.
-const PAUSE_SAMPLE_WEIGHT: f64 = 0.025;
+/// Weight of one pause in the moving average, which thus covers some hundred
+/// pauses, of several streams even at an entry with few requests.
+const PAUSE_SAMPLE_WEIGHT: f64 = 0.004;
 
 /// Approximate fraction of the tokens in shared parts that must be prefilled
 /// because they are not cached.
 const UNCACHED_SHARE: f64 = 0.2;
 
-/// Half-life of recorded work: long enough that an entry with a few requests
-/// per second computes nearly the same split as the other entries, short enough
-/// to follow bursts of five to ten seconds.
+/// Half-life of recorded work at an entry with many requests per second: short
+/// enough to follow bursts of five to ten seconds.
 const WORK_HALF_LIFE_MS: f64 = 3_000.0;
 
+/// Least number of prompts in which recorded work decays by half. Entries that
+/// see few prompts each would otherwise compute different splits: an instance on
+/// which they disagree gets long prompts beside short ones.
+const WORK_HALF_LIFE_PROMPTS: f64 = 100.0;
+
 /// Tokens of short prompts that a new process assumes to have placed, so that
 /// the lanes of a starting fleet are close to their final size for the first
-/// prompts. Together with [`ASSUMED_LONG_TOKENS`] about ten requests of the mix
-/// that the users specify.
-const ASSUMED_SHORT_TOKENS: f64 = 4_000.0;
+/// prompts. Together with [`ASSUMED_LONG_TOKENS`] about thirty requests of the
+/// mix that the users specify.
+const ASSUMED_SHORT_TOKENS: f64 = 12_000.0;
 /// Tokens of long prompts that a new process assumes to have placed; see
 /// [`ASSUMED_SHORT_TOKENS`].
-const ASSUMED_LONG_TOKENS: f64 = 46_000.0;
+const ASSUMED_LONG_TOKENS: f64 = 138_000.0;
 
 /// The split changes only by more than this number of instances and by more
 /// than [`SPLIT_HYSTERESIS_SHARE`] of all instances, so that prompts with homes
@@ -127,21 +131,22 @@
     }
 }
 
-/// Exponentially decaying count of tokens to prefill.
-#[derive(Clone, Copy, Debug, Default)]
-struct DecayingTokens {
-    tokens: f64,
-    updated_at: TimeMs,
+/// Tokens to prefill in each lane, of which older ones count less.
+#[derive(Debug)]
+struct Work {
+    tokens: ByLane<f64>,
+    recorded_at: TimeMs,
 }
 
-impl DecayingTokens {
-    fn get(&self, now: TimeMs) -> f64 {
-        self.tokens * decay_factor(now, self.updated_at, WORK_HALF_LIFE_MS)
-    }
-
-    fn add(&mut self, now: TimeMs, tokens: f64) {
-        self.tokens = self.get(now) + tokens;
-        self.updated_at = now;
+impl Work {
+    fn add(&mut self, now: TimeMs, lane: Lane, tokens: f64) {
+        let decay = decay_factor(now, self.recorded_at, WORK_HALF_LIFE_MS)
+            .max(0.5_f64.powf(1.0 / WORK_HALF_LIFE_PROMPTS));
+        self.recorded_at = now;
+        for lane in [Lane::Short, Lane::Long] {
+            *self.tokens.get_mut(lane) *= decay;
+        }
+        *self.tokens.get_mut(lane) += tokens;
     }
 }
 
@@ -153,7 +158,7 @@
 /// order: the rank of the instance, from 0, by the hash of its name.
 #[derive(Debug)]
 pub(super) struct Lanes {
-    work: ByLane<DecayingTokens>,
+    work: Work,
     /// Moving average of pauses within short streams, as a fraction of what
     /// their class allows, over the instances that every entry reserves for
     /// short prompts.
@@ -166,14 +171,13 @@
 
 impl Default for Lanes {
     fn default() -> Self {
-        let assumed = |tokens| DecayingTokens {
-            tokens,
-            updated_at: TimeMs(0),
-        };
         Self {
-            work: ByLane {
-                short: assumed(ASSUMED_SHORT_TOKENS),
-                long: assumed(ASSUMED_LONG_TOKENS),
+            work: Work {
+                tokens: ByLane {
+                    short: ASSUMED_SHORT_TOKENS,
+                    long: ASSUMED_LONG_TOKENS,
+                },
+                recorded_at: TimeMs(0),
             },
             pause_share: FULL_PAUSE_SHARE / 2.0,
             short_instances: 0,
@@ -184,11 +188,7 @@
 
 impl Lanes {
     /// Replaces the instances and recomputes their positions.
-    pub(super) fn set_instances<'a>(
-        &mut self,
-        now: TimeMs,
-        instances: impl Iterator<Item = &'a InstanceId>,
-    ) {
+    pub(super) fn set_instances<'a>(&mut self, instances: impl Iterator<Item = &'a InstanceId>) {
         let hashes: Vec<u64> = instances
             .map(|instance| rapidhash_v3(instance.as_str().as_bytes()))
             .collect();
@@ -196,7 +196,7 @@
         sorted.sort_unstable();
         let position = |hash: &u64| sorted.partition_point(|other| other < hash);
         self.positions = hashes.iter().map(position).collect();
-        self.update_split(now);
+        self.update_split();
     }
 
     /// Records the tokens to prefill of a prompt that was placed, and updates
@@ -205,8 +205,8 @@
         let shared = demand.shared_tokens();
         let own = demand.prompt_tokens.saturating_sub(shared);
         let tokens = f64::from(own) + UNCACHED_SHARE * f64::from(shared);
-        self.work.get_mut(Lane::of(demand)).add(now, tokens);
-        self.update_split(now);
+        self.work.add(now, Lane::of(demand), tokens);
+        self.update_split();
     }
 
     /// Records a pause within a stream of a short prompt. Only the first half
@@ -247,19 +247,19 @@
         }
     }
 
-    fn update_split(&mut self, now: TimeMs) {
-        let ideal = self.ideal_short_instances(now);
+    fn update_split(&mut self) {
+        let ideal = self.ideal_short_instances();
         let share = SPLIT_HYSTERESIS_SHARE * self.positions.len() as f64;
         if (ideal - self.short_instances as f64).abs() > SPLIT_HYSTERESIS_INSTANCES.max(share) {
             self.short_instances = ideal.round() as usize;
         }
     }
 
-    fn ideal_short_instances(&self, now: TimeMs) -> f64 {
+    fn ideal_short_instances(&self) -> f64 {
         let factor = (self.pause_share / FULL_PAUSE_SHARE)
             .clamp(*PAUSE_FACTOR_RANGE.start(), *PAUSE_FACTOR_RANGE.end());
-        let short = SHORT_LANE_WEIGHT * factor * self.work.get(Lane::Short).get(now);
-        let long = self.work.get(Lane::Long).get(now);
+        let short = SHORT_LANE_WEIGHT * factor * self.work.tokens.get(Lane::Short);
+        let long = self.work.tokens.get(Lane::Long);
         let total = short + long;
         match total > 0.0 {
             true => short / total * self.positions.len() as f64,
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -171,7 +171,7 @@
 
     /// Replaces the members. Statistics of members with unchanged incarnation
     /// are kept.
-    pub fn set_members(&mut self, now: TimeMs, members: &[InstanceSpec]) {
+    pub fn set_members(&mut self, members: &[InstanceSpec]) {
         let mut before = std::mem::take(&mut self.instances);
         for member in members {
             let existing = before
@@ -181,7 +181,7 @@
             tracked.set_capacity(member.capacity);
             self.instances.insert(member.instance.clone(), tracked);
         }
-        self.lanes.set_instances(now, self.instances.keys());
+        self.lanes.set_instances(self.instances.keys());
     }
 
     /// Returns the overload if the request should be refused because the queues
--- a/crates/policy/tests/overload.rs
+++ b/crates/policy/tests/overload.rs
@@ -23,7 +23,7 @@
 fn placer() -> Placer {
     let members: Vec<InstanceSpec> = (0..4).map(instance_spec).collect();
     let mut placer = Placer::default();
-    placer.set_members(TimeMs(0), &members);
+    placer.set_members(&members);
     placer
 }
 
@@ -221,7 +221,7 @@
 fn answers_of_removed_instances_are_subtracted_once() {
     let (mut placer, sent) = busy_placer(16);
     let remaining: Vec<InstanceSpec> = (0..2).map(instance_spec).collect();
-    placer.set_members(TimeMs(2_000), &remaining);
+    placer.set_members(&remaining);
 
     for (placement, mut ticket) in sent {
         let is_removed = remaining
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -137,7 +137,7 @@
 fn placer(instances: usize) -> Placer {
     let members: Vec<InstanceSpec> = (0..instances).map(instance_spec).collect();
     let mut placer = Placer::default();
-    placer.set_members(TimeMs(0), &members);
+    placer.set_members(&members);
     placer
 }
 
@@ -176,7 +176,7 @@
     const SUBJECTS: u64 = 400;
     let (first, second, mut extended) = (placer(10), placer(10), placer(10));
     let members: Vec<InstanceSpec> = (0..11).map(instance_spec).collect();
-    extended.set_members(TimeMs(0), &members);
+    extended.set_members(&members);
 
     let moved = (0..SUBJECTS)
         .filter(|subject| {
@@ -308,7 +308,7 @@
         })
         .collect();
 
-    placer.set_members(TimeMs(0), &restarted);
+    placer.set_members(&restarted);
     placer.on_end(&placement.instance, ticket);
     let after = placer
         .choose(TimeMs(1), &demand(7), &[])
--- a/crates/policy/tests/support/prompts.rs
+++ b/crates/policy/tests/support/prompts.rs
@@ -122,7 +122,7 @@
         let placers = (0..entries)
             .map(|_| {
                 let mut placer = Placer::default();
-                placer.set_members(TimeMs(0), &members);
+                placer.set_members(&members);
                 placer
             })
             .collect();
