--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -89,8 +89,8 @@
                 listing.revision
             }
         };
-        app.on_roster_confirmed();
         publish_roster_change(&app, before, revision);
+        app.on_roster_confirmed();
     })
     .await;
 }
