Log how far a broken attempt got and which prompt parts it carried

The logs named a hash of all shared parts, so that two prompts with one part in common looked unrelated, and did not show whether an engine had answered with a head before the connection broke. Both are needed to tell the hypotheses apart: whether breaks are tied to a part, and whether a gateway has seen them. No decision changes.

--- a/crates/gateway/src/attempt/log.rs
+++ b/crates/gateway/src/attempt/log.rs
@@ -1,10 +1,10 @@
 //! Log events and metrics for the attempts of a request.
 
-use policy::placement::{LaneSplit, Placement};
+use policy::placement::{Demand, LaneSplit, Placement};
 use telemetry::{emit, events::GatewayEvent};
-use types::{InstanceId, UpstreamName, Verdict};
+use types::{InstanceId, UpstreamName};
 
-use super::session::Session;
+use super::{receive::AttemptError, session::Session};
 
 impl Session {
     /// Logs the instance chosen for the current attempt.
@@ -37,19 +37,21 @@
     pub(super) fn log_attempt_failed(
         &self,
         instance: &InstanceId,
-        reason: &str,
-        verdict: Verdict,
+        attempt_error: &AttemptError,
         last_id: Option<u64>,
         after_ms: u64,
     ) {
+        let verdict = attempt_error.verdict;
         emit(&GatewayEvent::AttemptBroke {
             request_id: self.request.request_id.clone(),
             attempt: self.attempts,
             instance: instance.clone(),
-            reason: reason.into(),
+            reason: attempt_error.reason.clone(),
             verdict,
             after_ms,
             last_event: last_id.unwrap_or_default(),
+            progress: attempt_error.progress.as_str(),
+            parts: part_ids(&self.request.demand),
         });
         metrics::counter!("limpetgw_gateway_attempts_broken_total", "verdict" => verdict.as_str())
             .increment(1);
@@ -116,3 +118,9 @@
         pause_percent: (after.pause_share * 100.0) as u32,
     });
 }
+
+/// Formats the ids of the parts that other prompts may share, in order.
+fn part_ids(demand: &Demand) -> String {
+    let ids = demand.shared().iter().map(|part| format!("{:x}", part.id));
+    ids.collect::<Vec<_>>().join(",")
+}
--- a/crates/gateway/src/attempt/receive.rs
+++ b/crates/gateway/src/attempt/receive.rs
@@ -39,10 +39,37 @@
     pub(super) response: Option<BufferedResponse>,
     /// Fault to report to the placer.
     pub(super) fault: InstanceFault,
+    /// How far the attempt got before it failed.
+    pub(super) progress: Progress,
     /// Whether the next attempt was already taken from the retry budget.
     pub(super) retry_reserved: bool,
 }
 
+/// How far an attempt got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Progress {
+    /// Nothing was sent.
+    Unsent,
+    /// The request was sent, or may have been.
+    Sent,
+    /// The response head arrived, but no event.
+    Head,
+    /// At least one event arrived.
+    Events,
+}
+
+impl Progress {
+    /// Returns the text form for log events.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Progress::Unsent => "unsent",
+            Progress::Sent => "sent",
+            Progress::Head => "head",
+            Progress::Events => "events",
+        }
+    }
+}
+
 /// What a failed attempt shows about its instance.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(super) enum InstanceFault {
@@ -106,7 +133,8 @@
                 .header_codec
                 .decode_response(response.status, &response.headers);
             let exchange = Exchange::new(response, load_guard, lease);
-            self.handle_response(exchange, &meta, events).await
+            let handled = self.handle_response(exchange, &meta, events).await;
+            handled.map_err(|error| error.with_progress(Progress::Head))
         };
         received.or(self.wait_for_failover(&instance)).await
     }
@@ -141,6 +169,7 @@
                 reason: format!("the instance responded {status} and did not run the request"),
                 response: None,
                 fault,
+                progress: Progress::Head,
                 retry_reserved: false,
             });
         }
@@ -175,6 +204,7 @@
                 reason: format!("the instance responded {status}"),
                 response: (meta.signed && id_matches).then_some(response),
                 fault: InstanceFault::Failed,
+                progress: Progress::Head,
                 retry_reserved: false,
             });
         }
@@ -214,10 +244,19 @@
             reason: "the pooled connection was closed before the request was sent".into(),
             response: None,
             fault: InstanceFault::Failed,
+            progress: Progress::Unsent,
             retry_reserved: false,
         }
     }
 
+    /// Creates the error for an instance to which no connection could be taken.
+    pub(super) fn unconnected(reason: String) -> Self {
+        Self {
+            reason,
+            ..Self::not_sent()
+        }
+    }
+
     /// Creates the error for a connection that failed after the request may
     /// have been sent.
     pub(super) fn exchange_failed(error: &ExchangeError) -> Self {
@@ -231,10 +270,17 @@
             reason: reason.into(),
             response: None,
             fault: InstanceFault::Failed,
+            progress: Progress::Sent,
             retry_reserved: false,
         }
     }
 
+    /// Sets how far the attempt got.
+    pub(super) fn with_progress(mut self, progress: Progress) -> Self {
+        self.progress = progress;
+        self
+    }
+
     /// Creates the error for an abandoned attempt whose retry was already
     /// taken from the budget.
     pub(super) fn failed_over(reason: &str) -> Self {
--- a/crates/gateway/src/attempt/session.rs
+++ b/crates/gateway/src/attempt/session.rs
@@ -12,7 +12,7 @@
     exchange::{Exchange, LoadGuard},
     failover::ATTEMPT_TIME_MIN,
     log::log_lane_split,
-    receive::{AttemptError, InstanceFault, Received},
+    receive::{AttemptError, InstanceFault, Progress, Received},
 };
 use crate::{
     app::App,
@@ -240,7 +240,8 @@
                             placer.on_unreachable(now, &instance);
                         }
                     });
-                    self.log_attempt_failed(&instance, &reason, Verdict::NotRun, None, 0);
+                    let attempt_error = AttemptError::unconnected(reason.clone());
+                    self.log_attempt_failed(&instance, &attempt_error, None, 0);
                     self.excluded.push(instance);
                 }
             }
@@ -271,7 +272,7 @@
     ) {
         let instance = exchange.load_guard.instance.clone();
         drop(exchange);
-        let attempt_error = AttemptError::failed(reason);
+        let attempt_error = AttemptError::failed(reason).with_progress(Progress::Events);
         self.record_attempt_error(&instance, &attempt_error, last_id, self.age_ms());
         self.excluded.push(instance);
     }
@@ -292,13 +293,7 @@
                 InstanceFault::Replaced => placer.on_unreachable(now, instance),
             });
         self.may_have_run |= attempt_error.verdict != Verdict::NotRun;
-        self.log_attempt_failed(
-            instance,
-            &attempt_error.reason,
-            attempt_error.verdict,
-            last_id,
-            after_ms,
-        );
+        self.log_attempt_failed(instance, attempt_error, last_id, after_ms);
     }
 
     /// Returns the failure for the caller, covering all attempts.
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -62,7 +62,7 @@
 
 impl Demand {
     /// Returns the parts that other requests may share with this one.
-    fn shared(&self) -> &[Part] {
+    pub fn shared(&self) -> &[Part] {
         match self.parts.split_last() {
             Some((_own, shared)) => shared,
             None => &[],
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -93,6 +93,11 @@
             after_ms: u64,
             /// Id of the last event delivered, 0 for none.
             last_event: u64,
+            /// How far the attempt got: `unsent`, `sent`, `head` for a response head
+            /// without an event, or `events`.
+            progress: &'static str,
+            /// Ids of the prompt parts that other requests may share, in order.
+            parts: String,
         } = "An attempt failed.", "Investigate the instance if it fails often.";
         5004 Info RequestTurnedAway {
             /// Request id that the caller sent.
