Quarantine prompt parts that crash instances, at all gateways

Cause: the gateway held a broken connection against the instance only. The part went on to a healthy engine, on a retry at once, through every gateway. The agents' quarantine would not have helped: it is keyed by the whole content, no two requests were alike, and each gateway had seen only some of the crashes.

Change: ends of instances are evidence against the shared parts and the content of the requests that were waiting there, once the instance refuses connections or left the roster; a first event clears. Each gateway keeps one record in the store and watches all others. The suspect that explains the most ends is refused as not run, nothing beside it. Its trial is one request of one gateway.

--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -13,6 +13,7 @@
 use indexmap::{IndexMap, IndexSet};
 use net::Lifecycle;
 use policy::{
+    crash_evidence::{CrashLog, InstanceEnd, Suspect},
     placement::{Capacity, InstanceSpec, Placer},
     retry::WindowedRetryBudget,
     roster::{Member, Roster},
@@ -21,8 +22,13 @@
 use types::{InstanceId, TimeMs, UpstreamName};
 
 use crate::{
-    header_codec::HeaderCodec, live::LiveSettings, response::LargeBodyPool, routing::Routing,
-    upstream::Pool, Settings,
+    header_codec::HeaderCodec,
+    live::LiveSettings,
+    peers::{PeerDirectory, PeerExchange},
+    response::LargeBodyPool,
+    routing::Routing,
+    upstream::Pool,
+    Settings,
 };
 
 /// Time after a connection probe before the same instance is probed again.
@@ -30,6 +36,10 @@
 /// time would not help them.
 const PROBE_INTERVAL: Duration = Duration::from_millis(800);
 
+/// Time after the start for which the reports of other gateways are waited for, in
+/// milliseconds.
+const REPORTS_WAIT_MS: u64 = 1_000;
+
 /// Immutable snapshot of the instances that requests may be placed on, built
 /// from one roster revision.
 #[derive(Debug, Default)]
@@ -37,6 +47,7 @@
     pub(crate) revision: u64,
     pub(crate) usable: usize,
     addrs: IndexMap<InstanceId, Arc<str>>,
+    incarnations: IndexMap<InstanceId, u64>,
 }
 
 impl RosterView {
@@ -45,6 +56,12 @@
     pub(crate) fn addr(&self, instance: &InstanceId) -> Option<&Arc<str>> {
         self.addrs.get(instance)
     }
+
+    /// Returns the incarnation of an instance, or `None` if the snapshot does
+    /// not contain it.
+    pub(crate) fn incarnation(&self, instance: &InstanceId) -> Option<u64> {
+        self.incarnations.get(instance).copied()
+    }
 }
 
 /// Shared state of one gateway process.
@@ -58,6 +75,12 @@
     pub(crate) pool: Pool,
     pub(crate) large_bodies: LargeBodyPool,
     pub(crate) lifecycle: Lifecycle,
+    pub(crate) crash_log: Mutex<CrashLog>,
+    /// Instances that may have ended, with the suspects of the requests whose
+    /// connections broke there.
+    pub(crate) unconfirmed_ends: Mutex<IndexMap<InstanceEnd, Vec<Suspect>>>,
+    pub(crate) peers: PeerExchange,
+    pub(crate) peer_directory: Arc<dyn PeerDirectory>,
     placers: Mutex<IndexMap<UpstreamName, Placer>>,
     retry_budgets: Mutex<IndexMap<UpstreamName, WindowedRetryBudget>>,
     /// Instances with a connection probe in progress, or completed less than
@@ -72,7 +95,11 @@
 }
 
 impl App {
-    pub(crate) fn new(settings: Settings, header_codec: Arc<dyn HeaderCodec>) -> Self {
+    pub(crate) fn new(
+        settings: Settings,
+        header_codec: Arc<dyn HeaderCodec>,
+        peer_directory: Arc<dyn PeerDirectory>,
+    ) -> Self {
         Self {
             live: ArcSwap::from_pointee(settings.live),
             settings,
@@ -83,6 +110,10 @@
             pool: Pool::default(),
             large_bodies: LargeBodyPool::default(),
             lifecycle: Lifecycle::default(),
+            crash_log: Mutex::default(),
+            unconfirmed_ends: Mutex::default(),
+            peers: PeerExchange::default(),
+            peer_directory,
             placers: Mutex::default(),
             retry_budgets: Mutex::default(),
             probing: Mutex::default(),
@@ -103,10 +134,13 @@
         !self.lifecycle.is_draining() && self.has_initial_state()
     }
 
-    /// Returns whether both a configuration and the instance list have been
-    /// received.
+    /// Returns whether a configuration, the instance list and the reports of
+    /// other gateways have been received. Reports are waited for only during
+    /// [`REPORTS_WAIT_MS`], since requests can be served without them.
     pub(crate) fn has_initial_state(&self) -> bool {
-        self.roster_received.load(Ordering::Relaxed) && self.routing.load().version > 0
+        self.roster_received.load(Ordering::Relaxed)
+            && self.routing.load().version > 0
+            && (self.peers.has_listed() || self.now().0 >= REPORTS_WAIT_MS)
     }
 
     /// Records that the platform has just sent or confirmed the roster.
@@ -215,6 +249,9 @@
             placers.entry(upstream).or_default().set_members(&specs);
             view.usable += members.len();
             for member in members {
+                let incarnation = member.incarnation;
+                view.incarnations
+                    .insert(member.instance.clone(), incarnation);
                 view.addrs.insert(member.instance, member.addr);
             }
         }
--- a/crates/gateway/src/attempt/receive.rs
+++ b/crates/gateway/src/attempt/receive.rs
@@ -13,9 +13,10 @@
     session::Session,
 };
 use crate::{
+    app::lock,
     failure::Failure,
     header_codec::{ResponseMeta, UpstreamRequestMeta},
-    response::{read_response_body, BufferedResponse, EventBuffer},
+    response::{read_response_body, BodyError, BufferedResponse, EventBuffer},
     routing::ResponseMode,
     upstream::{Connection, ExchangeError, Lease, NotSent},
 };
@@ -41,6 +42,8 @@
     pub(super) fault: InstanceFault,
     /// How far the attempt got before it failed.
     pub(super) progress: Progress,
+    /// Whether the attempt failed because its connection broke.
+    pub(super) connection_lost: bool,
     /// Whether the next attempt was already taken from the retry budget.
     pub(super) retry_reserved: bool,
 }
@@ -170,6 +173,7 @@
                 response: None,
                 fault,
                 progress: Progress::Head,
+                connection_lost: false,
                 retry_reserved: false,
             });
         }
@@ -191,7 +195,10 @@
         }
         let body = read_response_body(&mut exchange.response, &self.app.large_bodies)
             .await
-            .map_err(|error| AttemptError::failed(error.to_string()))?;
+            .map_err(|error| match error {
+                BodyError::Truncated { .. } => AttemptError::connection_lost(error.to_string()),
+                error => AttemptError::failed(error.to_string()),
+            })?;
         let response = BufferedResponse {
             status,
             headers: exchange.response.headers.clone(),
@@ -205,10 +212,11 @@
                 response: (meta.signed && id_matches).then_some(response),
                 fault: InstanceFault::Failed,
                 progress: Progress::Head,
+                connection_lost: false,
                 retry_reserved: false,
             });
         }
-        exchange.load_guard.on_first_event();
+        self.on_first_event(&mut exchange);
         exchange.release_connection(&self.app);
         Ok(Received::Buffered(response))
     }
@@ -230,9 +238,17 @@
                 None => return Err(AttemptError::failed("the response ended within an event")),
             }
         }
-        exchange.load_guard.on_first_event();
+        self.on_first_event(exchange);
         Ok(())
     }
+
+    /// Records that the instance has begun to answer.
+    fn on_first_event(&self, exchange: &mut Exchange) {
+        exchange.load_guard.on_first_event();
+        if !lock(&self.app.crash_log).is_clean() {
+            self.app.on_response_begun(self.request.suspects());
+        }
+    }
 }
 
 impl AttemptError {
@@ -245,6 +261,7 @@
             response: None,
             fault: InstanceFault::Failed,
             progress: Progress::Unsent,
+            connection_lost: false,
             retry_reserved: false,
         }
     }
@@ -260,7 +277,22 @@
     /// Creates the error for a connection that failed after the request may
     /// have been sent.
     pub(super) fn exchange_failed(error: &ExchangeError) -> Self {
-        Self::failed(error.to_string())
+        Self::connection_lost(error.to_string())
+    }
+
+    /// Creates the error for a connection that broke after the request may have
+    /// been sent.
+    fn connection_lost(reason: impl Into<String>) -> Self {
+        Self {
+            connection_lost: true,
+            ..Self::failed(reason)
+        }
+    }
+
+    /// Returns whether the connection broke while the request was waiting for
+    /// its first event.
+    pub(super) fn is_connection_lost_before_first_event(&self) -> bool {
+        self.connection_lost && matches!(self.progress, Progress::Sent | Progress::Head)
     }
 
     /// Creates the error for a failed attempt that may have run the request.
@@ -271,6 +303,7 @@
             response: None,
             fault: InstanceFault::Failed,
             progress: Progress::Sent,
+            connection_lost: false,
             retry_reserved: false,
         }
     }
--- a/crates/gateway/src/attempt/session.rs
+++ b/crates/gateway/src/attempt/session.rs
@@ -4,7 +4,10 @@
 
 use http::HeaderMap;
 use net::InFlight;
-use policy::placement::{Placement, Urgency};
+use policy::{
+    crash_evidence::InstanceEnd,
+    placement::{Placement, Urgency},
+};
 use rand::RngExt;
 use types::{ErrorCode, InstanceId, Verdict};
 
@@ -15,7 +18,7 @@
     receive::{AttemptError, InstanceFault, Progress, Received},
 };
 use crate::{
-    app::App,
+    app::{lock, App},
     failure::Failure,
     request::Request,
     response::{BufferedResponse, EventBuffer, OpenedStream},
@@ -59,6 +62,8 @@
     pub(crate) attempts: u32,
     pub(super) excluded: Vec<InstanceId>,
     pub(super) may_have_run: bool,
+    /// Incarnation of the instance that the last attempt was sent to.
+    incarnation: u64,
     /// Time from receipt until the first event, in milliseconds; 0 before it.
     pub(super) first_ms: u64,
     /// Time from receipt until the last event, in milliseconds; 0 before the
@@ -80,6 +85,7 @@
             attempts: 0,
             excluded: Vec::new(),
             may_have_run: false,
+            incarnation: 0,
             first_ms: 0,
             event_at_ms: 0,
             longest_pause_ms: 0,
@@ -162,12 +168,30 @@
         Err(Failure::not_run(ErrorCode::QueueFull, reason).retry_after(retry_ms))
     }
 
+    /// Rejects the request if it is quarantined for crashing instances.
+    async fn check_quarantine(&self) -> Result<(), Failure> {
+        if lock(&self.app.crash_log).is_clean() {
+            return Ok(());
+        }
+        let screened = self
+            .app
+            .screen(&self.request.request_id, self.request.suspects())
+            .await;
+        screened.map_err(|mut failure| {
+            if self.may_have_run {
+                failure = Failure::may_have_run(ErrorCode::UpstreamFailed, failure.reason);
+            }
+            failure
+        })
+    }
+
     /// Makes attempts until one succeeds or no retry is allowed.
     async fn run_attempts(&mut self, mut events: EventBuffer) -> Result<Received, Failure> {
-        if self.attempts == 0 {
-            self.check_overload()?;
-        }
         loop {
+            self.check_quarantine().await?;
+            if self.attempts == 0 {
+                self.check_overload()?;
+            }
             let (placement, load_guard, connection, lease) = self.connect().await?;
             self.attempts += 1;
             self.log_placed(&placement);
@@ -228,6 +252,7 @@
                 self.excluded.push(instance);
                 continue;
             };
+            self.incarnation = view.incarnation(&instance).unwrap_or_default();
             let max = self.connections_max();
             match self.app.pool.take(addr, max).await {
                 Ok((connection, lease)) => return Ok((placement, load_guard, connection, lease)),
@@ -293,6 +318,13 @@
                 InstanceFault::Replaced => placer.on_unreachable(now, instance),
             });
         self.may_have_run |= attempt_error.verdict != Verdict::NotRun;
+        if attempt_error.is_connection_lost_before_first_event() {
+            let end = InstanceEnd {
+                instance: instance.clone(),
+                incarnation: self.incarnation,
+            };
+            self.app.on_connection_lost(end, self.request.suspects());
+        }
         self.log_attempt_failed(instance, attempt_error, last_id, after_ms);
     }
 
--- a/crates/gateway/src/feed_watcher.rs
+++ b/crates/gateway/src/feed_watcher.rs
@@ -21,10 +21,11 @@
 /// Longest wait of one watch call. The store allows 30 s.
 const WATCH_WAIT: Duration = Duration::from_secs(28);
 
-/// Interval between checks beside a waiting watch. A lost response is detected
-/// after this time plus the client's timeout margin; together they must stay
-/// below 3 s, within which a process must reconnect after an outage.
-const CHECK_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Interval between checks beside a watch for configurations and instances. A
+/// lost response is detected after this time plus the client's timeout margin;
+/// together they must stay below 3 s, within which a process must reconnect after
+/// an outage.
+pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(1_500);
 
 /// Shortest time between the starts of two calls. Batches changes that arrive
 /// together and prevents a busy loop when the store returns empty responses
@@ -50,10 +51,12 @@
     Changes(Listing<T>),
 }
 
-/// Watches one feed and passes each update to `on_update`. Never returns.
+/// Watches one feed and passes each update to `on_update`, with a check beside the
+/// watch every `check_interval`. Never returns.
 pub(crate) async fn watch_feed<T>(
-    feed: Arc<dyn Feed<T>>,
+    feed: Arc<impl Feed<T> + ?Sized>,
     feed_name: &'static str,
+    check_interval: Duration,
     mut on_update: impl FnMut(Update<T>),
 ) {
     let mut pacer = CallPacer::new(feed_name);
@@ -73,7 +76,7 @@
             }
             continue;
         };
-        match watch_with_checks(feed.as_ref(), feed_name, after).await {
+        match watch_with_checks(feed.as_ref(), feed_name, check_interval, after).await {
             Ok(WatchResult::Changes(listing)) => {
                 pacer.on_success();
                 revision = Some(listing.revision.max(after));
@@ -97,13 +100,14 @@
 /// error of a check if the store does not answer, or has changes that the watch
 /// did not deliver.
 async fn watch_with_checks<T>(
-    feed: &dyn Feed<T>,
+    feed: &(impl Feed<T> + ?Sized),
     feed_name: &'static str,
+    check_interval: Duration,
     after: u64,
 ) -> Result<WatchResult<T>, StoreError> {
     let checked = async {
         loop {
-            smol::Timer::after(CHECK_INTERVAL).await;
+            smol::Timer::after(check_interval).await;
             match feed.check(after).await {
                 Ok(WatchResult::Changes(listing)) if listing.entries.is_empty() => {}
                 found => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod app;
 mod attempt;
+mod crash_evidence;
 mod failure;
 mod feed;
 mod feed_watcher;
@@ -14,6 +15,7 @@
 mod header_codec;
 mod headers;
 mod live;
+mod peers;
 mod platform_sync;
 mod request;
 mod response;
@@ -26,6 +28,7 @@
 pub use feed::{Feed, FeedEntry, Listing, WatchResult};
 pub use header_codec::{HeaderCodec, RequestMeta, ResponseMeta, UpstreamRequestMeta};
 pub use live::{read_settings_file, FileSettings, LiveSettings, SettingsFileError};
+pub use peers::{PeerDirectory, PeerRecord, PeerReport};
 pub use server::{start, DrainHandle, PlatformAdapter, Running};
 pub use settings::{RetryBound, Settings};
 
--- a/crates/gateway/src/response/mod.rs
+++ b/crates/gateway/src/response/mod.rs
@@ -4,7 +4,7 @@
 mod event_buffer;
 mod stream;
 
-pub(crate) use buffered::{read_response_body, BufferedResponse, LargeBodyPool};
+pub(crate) use buffered::{read_response_body, BodyError, BufferedResponse, LargeBodyPool};
 pub(crate) use event_buffer::EventBuffer;
 pub(crate) use stream::{OpenedStream, StreamBody};
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,6 +1,9 @@
 //! Handles one request of a caller, from the head to the response.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use futures_lite::FutureExt;
@@ -169,6 +172,7 @@
         received_at,
         deadline: received_at + timeout.as_millis() as u64,
         config_version: config.version,
+        suspects: OnceLock::new(),
     })
 }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -11,8 +11,15 @@
 use trillium_smol::async_net::TcpListener;
 
 use crate::{
-    app::App, feed::Feed, guard::CallerGuardPolicy, header_codec::HeaderCodec, live, platform_sync,
-    routing::Routing, serve, RunError, Settings,
+    app::App,
+    feed::Feed,
+    guard::CallerGuardPolicy,
+    header_codec::HeaderCodec,
+    live,
+    peers::{publish_own_record, sync_peers, PeerDirectory},
+    platform_sync,
+    routing::Routing,
+    serve, RunError, Settings,
 };
 
 /// Maximum size of a request head that the HTTP library parses, in bytes. Above
@@ -36,6 +43,8 @@
     pub routing: Arc<dyn Feed<Routing>>,
     /// Source of the instance list.
     pub roster: Arc<dyn Feed<Member>>,
+    /// Records that gateways exchange.
+    pub peers: Arc<dyn PeerDirectory>,
 }
 
 /// A gateway whose listeners accept connections.
@@ -76,7 +85,11 @@
 pub async fn start(settings: Settings, platform: PlatformAdapter) -> Result<Running, RunError> {
     let (callers_socket, addr) = bind(settings.listen)?;
     let (operator_socket, operator_addr) = bind(settings.operator_listen)?;
-    let app = Arc::new(App::new(settings, platform.header_codec));
+    let app = Arc::new(App::new(
+        settings,
+        platform.header_codec,
+        platform.peers.clone(),
+    ));
     live::reload(&app, false);
     emit(&GatewayEvent::GatewayListening {
         instance: app.settings.instance.clone(),
@@ -88,6 +101,8 @@
     async_global_executor::spawn(platform_sync::sync_routing(app.clone(), platform.routing))
         .detach();
     async_global_executor::spawn(platform_sync::sync_roster(app.clone(), platform.roster)).detach();
+    async_global_executor::spawn(sync_peers(app.clone(), platform.peers.clone())).detach();
+    async_global_executor::spawn(publish_own_record(app.clone(), platform.peers)).detach();
     async_global_executor::spawn(platform_sync::run_maintenance(app.clone())).detach();
     async_global_executor::spawn(live::reload_periodically(app.clone())).detach();
     let callers = spawn(callers_socket, &app, callers_handler(app.clone()));
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod admission;
 pub mod choice;
+pub mod crash_evidence;
 pub mod placement;
 pub mod quarantine;
 pub mod retry;
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -237,5 +237,43 @@
             reason: String,
         } = "A watch was given up because a check beside it failed or found changes that the watch did not deliver.",
             "Check the connection to the platform's store if it happens often.";
+        5024 Warn InstanceEnded {
+            /// Id of the instance.
+            instance: InstanceId,
+            /// Incarnation that ended.
+            incarnation: u64,
+            /// Prompt parts and whole requests that were waiting there for a first event.
+            suspects: usize,
+        } = "An instance ended with requests of this gateway in progress.",
+            "Look for `SuspectQuarantined`; without it, investigate the instance.";
+        5025 Warn SuspectQuarantined {
+            /// Position and id of the prompt part, or `content` and the digest of a whole
+            /// request.
+            suspect: String,
+            /// Ends of instances that count against it.
+            ends: usize,
+        } = "Requests with this prompt part or content are refused from now on because instances ended when they began to answer them.",
+            "Find the requests by `AttemptBroke` with this part, and the fault of the upstream's software.";
+        5026 Info SuspectReleased {
+            /// The suspect, as in `SuspectQuarantined`.
+            suspect: String,
+        } = "Requests with this prompt part or content are accepted again: a request was answered, another suspect explains the ends, or the evidence has expired.", "Nothing.";
+        5027 Info SuspectTried {
+            /// Request id that the caller sent.
+            request_id: RequestId,
+            /// The suspect, as in `SuspectQuarantined`.
+            suspect: String,
+            /// Ends of instances that count against it.
+            ends: usize,
+        } = "One request with a quarantined prompt part or content is sent to see whether it still crashes instances.", "Nothing.";
+        5028 Info ReportPublished {
+            /// Ends of instances in the report.
+            ends: usize,
+        } = "The gateway wrote its report for other gateways to the platform's store.", "Nothing.";
+        5029 Warn ReportNotPublished {
+            /// Error of the store.
+            reason: String,
+        } = "The report for other gateways could not be written; it is retried.",
+            "Check the connection to the platform's store.";
     }
 }
--- a/crates/types/src/error_code.rs
+++ b/crates/types/src/error_code.rs
@@ -58,6 +58,9 @@
     /// Requests with this content crashed several upstreams; the content is
     /// refused for a limited time.
     Quarantined = "quarantined", 422;
+    /// Instances ended when they began to answer requests with this content, or
+    /// with the same part of a prompt; such requests are refused at present.
+    CrashesUpstream = "crashes_upstream", 503;
     /// The request headers exceed the limit on count or size.
     HeadersTooLarge = "headers_too_large", 431;
     /// The queue or in-flight limit for the request's class is exhausted.
--- a/crates/types/src/fingerprint.rs
+++ b/crates/types/src/fingerprint.rs
@@ -26,6 +26,14 @@
         Self(bytes)
     }
 
+    /// Returns the first 8 bytes as a number, for places where a digest of 64 bits
+    /// is enough.
+    pub fn to_u64(&self) -> u64 {
+        let mut bytes = [0; 8];
+        bytes.copy_from_slice(&self.0[..8]);
+        u64::from_le_bytes(bytes)
+    }
+
     /// Parses 32 hexadecimal digits; returns `None` for any other text.
     pub fn from_hex(text: &str) -> Option<Self> {
         if text.len() != FINGERPRINT_BYTES * 2 || !text.is_ascii() {
