Send bodies to the store together with their head

Cause: the HTTP client asks for 100 Continue before a body above 1 KiB and waits 1 s for it; the store does not answer that, and a write is given up after 700 ms. A gateway's report grows above 1 KiB with its fourth or fifth end, so that nothing it saw later reached the others. The agents' client was set up against this, the store's was not.

Ruled out: rejected PUT (small ones succeeded), the store's rate limit, a lost conflict.

Change: bodies up to 2 MiB, above the store's limit of a value, go with the head. Elsewhere: the same client writes configurations of operators, which waited 1 s; the rpc client talks to our own servers, which answer 100.

--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -16,6 +16,10 @@
 /// Approximate size of an HTTP request or response head, in bytes, for the
 /// traffic counters.
 const HTTP_HEAD_ESTIMATE_BYTES: u64 = 300;
+/// Size up to which a request body is sent together with its head, in bytes. The
+/// client would wait for a `100 Continue` before a larger one, which a store need
+/// not send. Above the 1 MB that a value may have.
+const BUFFERED_BODY_MAX_BYTES: usize = 2 << 20;
 /// Maximum size of a response body (one value or a listing), in bytes.
 const RESPONSE_MAX_BYTES: u64 = 16 << 20;
 
@@ -42,7 +46,8 @@
     /// limited to `rates`.
     pub fn new(addr: &str, rates: RateLimits) -> Self {
         Self {
-            http: Client::new(KeepaliveConnector::new()),
+            http: Client::new(KeepaliveConnector::new())
+                .with_max_buffered_request_body(BUFFERED_BODY_MAX_BYTES),
             addr: addr.into(),
             limiter: Arc::new(Limiter::new(rates)),
         }
