Treat a stream without length as broken if it ends before its first event

What callers would see: a complete, empty answer.

Cause: a response with neither a length nor chunks ends with its connection. When an engine ended before the first event, the gateway took the end of the connection for the end of an empty stream, passed it on as complete, and counted it as a first event, which clears the prompt's parts of the crash.

Change: such an end is a lost connection: the request may resume on another instance, and the parts are suspects.

--- a/crates/gateway/src/attempt/receive.rs
+++ b/crates/gateway/src/attempt/receive.rs
@@ -234,6 +234,11 @@
                     .push(&bytes)
                     .map_err(|error| AttemptError::failed(error.to_string()))?,
                 Some(Err(error)) => return Err(AttemptError::exchange_failed(&error)),
+                None if exchange.response.ends_with_connection() => {
+                    return Err(AttemptError::connection_lost(
+                        "the connection was closed before the first event",
+                    ));
+                }
                 None if events.is_at_event_boundary() => break,
                 None => return Err(AttemptError::failed("the response ended within an event")),
             }
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use futures_lite::FutureExt;
-use http::{HeaderMap, Request};
+use http::{header, HeaderMap, Request};
 use http_body_util::Full;
 use hyper::{
     body::{Body, Incoming},
@@ -203,6 +203,13 @@
         }
     }
 
+    /// Returns whether the body has neither a length nor chunks, so that its end
+    /// can't be told from the end of the instance.
+    pub(crate) fn ends_with_connection(&self) -> bool {
+        !self.headers.contains_key(header::CONTENT_LENGTH)
+            && !self.headers.contains_key(header::TRANSFER_ENCODING)
+    }
+
     /// Returns the connection for reuse if the response was read completely and
     /// the instance keeps the connection open.
     pub(crate) fn into_connection(mut self) -> Option<Connection> {
