--- a/crates/gateway/src/attempt/receive.rs
+++ b/crates/gateway/src/attempt/receive.rs
@@ -135,6 +135,9 @@
                 .app
                 .header_codec
                 .decode_response(response.status, &response.headers);
+            if let Some(limit_milli_per_s) = meta.limit_milli_per_s {
+                self.log_limit_named(&instance, limit_milli_per_s);
+            }
             let exchange = Exchange::new(response, load_guard, lease);
             let handled = self.handle_response(exchange, &meta, events).await;
             handled.map_err(|error| error.with_progress(Progress::Head))
--- a/crates/gateway/src/header_codec.rs
+++ b/crates/gateway/src/header_codec.rs
@@ -58,6 +58,9 @@
     /// Whether the response carries the instance's signature. Successful
     /// responses without it are rejected.
     pub signed: bool,
+    /// Requests that the instance takes from all gateways together, in thousandths
+    /// of a request per second; `None` if it names no limit.
+    pub limit_milli_per_s: Option<u64>,
     /// Whether the body has a content encoding, which the gateway does not
     /// request and cannot relay.
     pub encoded: bool,
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -275,5 +275,14 @@
             reason: String,
         } = "The report for other gateways could not be written; it is retried.",
             "Check the connection to the platform's store.";
+        5030 Info InstanceLimitNamed {
+            /// Request id whose response named the limit.
+            request_id: RequestId,
+            /// Id of the instance.
+            instance: InstanceId,
+            /// Requests per second from all gateways together, in thousandths.
+            limit_milli_per_s: u64,
+        } = "A response of an instance named a limit on the requests that it takes.",
+            "Investigate the instance: it is short of resources.";
     }
 }
