Share the limit that an instance names among all gateways

Cause: the limit was relayed and read nowhere. Reading it would not have been enough: it holds for all gateways together, and each knows only its own requests.

Ruled out: a limit for each gateway (4 times, 103 times what is allowed); an equal share by the number of gateways (even one request each is too many at 103).

Change: gateways claim shares in the records that they exchange. Few of them share a small limit, nobody sends before its claim is published and settled, and an answer without a limit to a later request lifts it for all.

--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -14,6 +14,7 @@
 use net::Lifecycle;
 use policy::{
     crash_evidence::{CrashLog, InstanceEnd, Suspect},
+    named_limit::NamedLimits,
     placement::{Capacity, InstanceSpec, Placer},
     retry::WindowedRetryBudget,
     roster::{Member, Roster},
@@ -76,6 +77,7 @@
     pub(crate) large_bodies: LargeBodyPool,
     pub(crate) lifecycle: Lifecycle,
     pub(crate) crash_log: Mutex<CrashLog>,
+    pub(crate) named_limits: Mutex<NamedLimits>,
     /// Instances that may have ended, with the suspects of the requests whose
     /// connections broke there.
     pub(crate) unconfirmed_ends: Mutex<IndexMap<InstanceEnd, Vec<Suspect>>>,
@@ -111,6 +113,7 @@
             large_bodies: LargeBodyPool::default(),
             lifecycle: Lifecycle::default(),
             crash_log: Mutex::default(),
+            named_limits: Mutex::default(),
             unconfirmed_ends: Mutex::default(),
             peers: PeerExchange::default(),
             peer_directory,
@@ -258,6 +261,12 @@
         drop(placers);
         let view = Arc::new(view);
         self.view.store(view.clone());
+        let is_listed = |instance: &InstanceId, incarnation: u64| {
+            view.incarnation(instance) == Some(incarnation)
+        };
+        if lock(&self.named_limits).retain(is_listed) {
+            self.peers.notify_changed();
+        }
         view
     }
 }
--- a/crates/gateway/src/attempt/log.rs
+++ b/crates/gateway/src/attempt/log.rs
@@ -57,15 +57,6 @@
             .increment(1);
     }
 
-    /// Logs the limit that a response of an instance named.
-    pub(super) fn log_limit_named(&self, instance: &InstanceId, limit_milli_per_s: u64) {
-        emit(&GatewayEvent::InstanceLimitNamed {
-            request_id: self.request.request_id.clone(),
-            instance: instance.clone(),
-            limit_milli_per_s,
-        });
-    }
-
     /// Logs and counts a complete response. Without a first event, the total
     /// time is recorded as the time to the first event.
     pub(crate) fn log_completed(&self, status: u16, events: u32) {
--- a/crates/gateway/src/attempt/receive.rs
+++ b/crates/gateway/src/attempt/receive.rs
@@ -125,6 +125,7 @@
         events: &mut EventBuffer,
     ) -> Result<Received, AttemptError> {
         let instance = load_guard.instance.clone();
+        let sent_at = self.app.now();
         let received = async {
             let response = match connection.send(http_request).await {
                 Ok(Ok(response)) => response,
@@ -135,9 +136,10 @@
                 .app
                 .header_codec
                 .decode_response(response.status, &response.headers);
-            if let Some(limit_milli_per_s) = meta.limit_milli_per_s {
-                self.log_limit_named(&instance, limit_milli_per_s);
-            }
+            let start = (&instance, self.incarnation);
+            let request_id = &self.request.request_id;
+            self.app
+                .on_limit(request_id, sent_at, start, meta.limit_milli_per_s);
             let exchange = Exchange::new(response, load_guard, lease);
             let handled = self.handle_response(exchange, &meta, events).await;
             handled.map_err(|error| error.with_progress(Progress::Head))
--- a/crates/gateway/src/attempt/session.rs
+++ b/crates/gateway/src/attempt/session.rs
@@ -63,7 +63,7 @@
     pub(super) excluded: Vec<InstanceId>,
     pub(super) may_have_run: bool,
     /// Incarnation of the instance that the last attempt was sent to.
-    incarnation: u64,
+    pub(super) incarnation: u64,
     /// Time from receipt until the first event, in milliseconds; 0 before it.
     pub(super) first_ms: u64,
     /// Time from receipt until the last event, in milliseconds; 0 before the
@@ -233,8 +233,10 @@
             let now = self.app.now();
             let view = self.app.view.load_full();
             let upstream = self.request.upstream.clone();
+            let mut excluded = self.app.instances_at_limit();
+            excluded.extend_from_slice(&self.excluded);
             let placed = self.app.with_placer(&upstream, |placer| {
-                let placement = placer.choose(now, &self.request.demand, &self.excluded)?;
+                let placement = placer.choose(now, &self.request.demand, &excluded)?;
                 let before = placer.lane_split();
                 let ticket = placer.on_sent(now, &self.request.demand, &placement);
                 Some((placement, ticket, before, placer.lane_split()))
@@ -245,6 +247,7 @@
             if before.short_instances != after.short_instances {
                 log_lane_split(&upstream, &before, &after);
             }
+            self.app.on_placed(&placement);
             let instance = placement.instance.clone();
             let load_guard =
                 LoadGuard::new(self.app.clone(), upstream.clone(), instance.clone(), ticket);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod header_codec;
 mod headers;
 mod live;
+mod named_limits;
 mod peers;
 mod platform_sync;
 mod request;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -10,7 +10,7 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use policy::crash_evidence::EndEvidence;
+use policy::{crash_evidence::EndEvidence, named_limit::LimitClaim};
 use serde::{Deserialize, Serialize};
 use smol::channel::{Receiver, Sender};
 use store::{BoxFuture, StoreError};
@@ -27,12 +27,15 @@
     /// Ends of instances that this gateway observed.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub ends: Vec<EndEvidence>,
+    /// Limits of instances that this gateway knows or wants a share of.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<LimitClaim>,
 }
 
 impl PeerReport {
     /// Returns whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
-        self.ends.is_empty()
+        self.ends.is_empty() && self.limits.is_empty()
     }
 }
 
--- a/crates/gateway/src/peers/publish.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -39,7 +39,9 @@
             Ok(()) => {
                 emit(&GatewayEvent::ReportPublished {
                     ends: record.report.ends.len(),
+                    limits: record.report.limits.len(),
                 });
+                lock(&app.named_limits).on_published(app.now(), &record.report.limits);
                 published = (!record.report.is_empty()).then_some(record.report);
                 retry_delay = PUBLISH_INTERVAL;
                 smol::Timer::after(PUBLISH_INTERVAL).await;
@@ -58,10 +60,16 @@
 }
 
 impl App {
-    /// Returns what this gateway has to tell the others.
+    /// Returns what this gateway has to tell the others. A draining gateway leaves
+    /// its shares of limits to them.
     pub(crate) fn own_report(&self) -> PeerReport {
+        let limits = match self.lifecycle.is_draining() {
+            true => Vec::new(),
+            false => lock(&self.named_limits).own_claims(),
+        };
         PeerReport {
             ends: lock(&self.crash_log).own_evidence(),
+            limits,
         }
     }
 }
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use policy::crash_evidence::CrashLog;
 use telemetry::{emit, events::GatewayEvent};
 use types::{InstanceId, TimeMs};
@@ -43,6 +43,11 @@
     watch_feed(directory, PEERS_FEED, REPORT_CHECK_INTERVAL, |update| {
         let is_snapshot = matches!(update, Update::Snapshot(_));
         let (Update::Snapshot(listing) | Update::Changes(listing)) = update;
+        if is_snapshot {
+            let gateways = gateways(&listing);
+            let has_record = |gateway: &InstanceId| gateways.contains(gateway);
+            lock(&app.named_limits).retain_gateways(has_record);
+        }
         apply(&app, listing, &last_changes);
         if is_snapshot {
             app.peers.has_listed.store(true, Ordering::Relaxed);
@@ -52,23 +57,42 @@
     .await;
 }
 
+fn gateways(listing: &Listing<PeerRecord>) -> IndexSet<InstanceId> {
+    let entries = listing.entries.iter();
+    entries
+        .filter_map(|entry| match entry {
+            FeedEntry::Present(record) => Some(record.gateway.clone()),
+            FeedEntry::Removed { .. } | FeedEntry::Unreadable { .. } => None,
+        })
+        .collect()
+}
+
 fn apply(app: &Arc<App>, listing: Listing<PeerRecord>, last_changes: &LastChanges) {
     let now = app.now();
     for entry in listing.entries {
         match entry {
             FeedEntry::Present(record) if record.gateway == app.settings.instance => {
                 app.update_crash_log(|log| log.adopt(now, &record.report.ends));
+                if !app.peers.has_listed() {
+                    let mut limits = lock(&app.named_limits);
+                    limits.adopt(now, &record.report.limits);
+                    limits.on_published(now, &record.report.limits);
+                }
                 if record.report != app.own_report() {
                     app.peers.notify_changed();
                 }
             }
             FeedEntry::Present(record) => {
                 app.update_crash_log(|log| log.merge(now, &record.report.ends));
+                let limits = record.report.limits;
+                lock(&app.named_limits).set_claims(&record.gateway, limits);
                 lock(last_changes).insert(record.gateway, now);
             }
-            // What the gateway told stays true.
+            // What the gateway told about ends stays true.
             FeedEntry::Removed { name } => {
-                lock(last_changes).swap_remove(&*name);
+                let gateway = InstanceId::new(name);
+                lock(&app.named_limits).set_claims(&gateway, Vec::new());
+                lock(last_changes).swap_remove(&gateway);
             }
             FeedEntry::Unreadable { name, reason } => {
                 emit(&GatewayEvent::EntryUnreadable {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -72,6 +72,8 @@
                 instance: self.app.settings.instance.clone(),
                 in_flight: self.app.lifecycle.in_flight(),
             });
+            // Other gateways take over the shares of limits.
+            self.app.peers.notify_changed();
         }
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod admission;
 pub mod choice;
 pub mod crash_evidence;
+pub mod named_limit;
 pub mod placement;
 pub mod quarantine;
 pub mod retry;
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -269,6 +269,8 @@
         5028 Info ReportPublished {
             /// Ends of instances in the report.
             ends: usize,
+            /// Limits of instances in the report.
+            limits: usize,
         } = "The gateway wrote its report for other gateways to the platform's store.", "Nothing.";
         5029 Warn ReportNotPublished {
             /// Error of the store.
@@ -282,7 +284,13 @@
             instance: InstanceId,
             /// Requests per second from all gateways together, in thousandths.
             limit_milli_per_s: u64,
-        } = "A response of an instance named a limit on the requests that it takes.",
+        } = "An instance has named a limit, or another one, on the requests that it takes.",
             "Investigate the instance: it is short of resources.";
+        5031 Info InstanceLimitLifted {
+            /// Request id whose response named no limit any more.
+            request_id: RequestId,
+            /// Id of the instance.
+            instance: InstanceId,
+        } = "An instance that had named a limit names none any more.", "Nothing.";
     }
 }
