Poll the reports of other gateways instead of watching them

Cause: each write of a record made all 103 gateways end a watch and begin another, at the full price. Instances that end write many records at once.

Change: records are read every 1.5 s, every 0.5 s after an end, as stale reads; while a suspect recurs every second read is consistent. Writes are delayed by 100 ms, so that one instance's end is one write. A claim on a limit settles for 1.5 s in place of 0.8 s, the time that polls need.

--- a/crates/gateway/src/feed_watcher.rs
+++ b/crates/gateway/src/feed_watcher.rs
@@ -21,11 +21,13 @@
 /// Longest wait of one watch call. The store allows 30 s.
 const WATCH_WAIT: Duration = Duration::from_secs(28);
 
-/// Interval between checks beside a watch for configurations and instances. A
-/// lost response is detected after this time plus the client's timeout margin;
-/// together they must stay below 3 s, within which a process must reconnect after
-/// an outage.
-pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Wait of a watch call that only reads what has changed so far.
+const CONSISTENT_READ_WAIT: Duration = Duration::from_millis(1);
+
+/// Interval between checks beside a waiting watch. A lost response is detected
+/// after this time plus the client's timeout margin; together they must stay
+/// below 3 s, within which a process must reconnect after an outage.
+const CHECK_INTERVAL: Duration = Duration::from_millis(1_500);
 
 /// Shortest time between the starts of two calls. Batches changes that arrive
 /// together and prevents a busy loop when the store returns empty responses
@@ -51,12 +53,10 @@
     Changes(Listing<T>),
 }
 
-/// Watches one feed and passes each update to `on_update`, with a check beside the
-/// watch every `check_interval`. Never returns.
+/// Watches one feed and passes each update to `on_update`. Never returns.
 pub(crate) async fn watch_feed<T>(
     feed: Arc<impl Feed<T> + ?Sized>,
     feed_name: &'static str,
-    check_interval: Duration,
     mut on_update: impl FnMut(Update<T>),
 ) {
     let mut pacer = CallPacer::new(feed_name);
@@ -76,7 +76,7 @@
             }
             continue;
         };
-        match watch_with_checks(feed.as_ref(), feed_name, check_interval, after).await {
+        match watch_with_checks(feed.as_ref(), feed_name, after).await {
             Ok(WatchResult::Changes(listing)) => {
                 pacer.on_success();
                 revision = Some(listing.revision.max(after));
@@ -96,18 +96,72 @@
     }
 }
 
+/// How a polled feed is read next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Poll {
+    /// Time until the read.
+    pub(crate) delay: Duration,
+    /// Whether the read must not return stale data, which costs ten times as much.
+    pub(crate) is_consistent: bool,
+}
+
+/// Reads one feed as often as `next_poll` says and passes each update to
+/// `on_update`. Never returns.
+///
+/// Load pattern: a change of the feed concerns every process, but not at once. With
+/// watches, each write would make hundreds of processes call the store.
+pub(crate) async fn poll_feed<T>(
+    feed: Arc<impl Feed<T> + ?Sized>,
+    feed_name: &'static str,
+    next_poll: impl Fn() -> Poll,
+    mut on_update: impl FnMut(Update<T>),
+) {
+    let mut pacer = CallPacer::new(feed_name);
+    let mut revision = None;
+    loop {
+        let Some(after) = revision else {
+            match feed.list().await {
+                Ok(listing) => {
+                    pacer.on_success();
+                    revision = Some(listing.revision);
+                    on_update(Update::Snapshot(listing));
+                }
+                Err(error) => pacer.on_error(&error).await,
+            }
+            continue;
+        };
+        let poll = next_poll();
+        smol::Timer::after(poll.delay).await;
+        let read = match poll.is_consistent {
+            true => feed.watch(after, CONSISTENT_READ_WAIT).await,
+            false => feed.check(after).await,
+        };
+        match read {
+            Ok(WatchResult::Changes(listing)) => {
+                pacer.on_success();
+                revision = Some(listing.revision.max(after));
+                on_update(Update::Changes(listing));
+            }
+            Ok(WatchResult::HistoryLost) => {
+                pacer.on_success();
+                revision = None;
+            }
+            Err(error) => pacer.on_error(&error).await,
+        }
+    }
+}
+
 /// Waits for changes after a revision. Returns early with the changes or the
 /// error of a check if the store does not answer, or has changes that the watch
 /// did not deliver.
 async fn watch_with_checks<T>(
     feed: &(impl Feed<T> + ?Sized),
     feed_name: &'static str,
-    check_interval: Duration,
     after: u64,
 ) -> Result<WatchResult<T>, StoreError> {
     let checked = async {
         loop {
-            smol::Timer::after(check_interval).await;
+            smol::Timer::after(CHECK_INTERVAL).await;
             match feed.check(after).await {
                 Ok(WatchResult::Changes(listing)) if listing.entries.is_empty() => {}
                 found => {
--- a/crates/gateway/src/peers/publish.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -7,8 +7,11 @@
 use super::{PeerDirectory, PeerRecord, PeerReport};
 use crate::app::{lock, App};
 
-/// Shortest time between two writes. Batches what is observed when an instance
-/// ends with many requests; every other gateway reads each write.
+/// Delay of a write. Batches what is observed when instances end with many
+/// requests.
+const BATCH_DELAY: Duration = Duration::from_millis(100);
+
+/// Time after a write before the next one.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Longest delay before a failed write is repeated.
@@ -23,6 +26,7 @@
             // The first list requests it again.
             continue;
         }
+        smol::Timer::after(BATCH_DELAY).await;
         let report = app.own_report();
         if report.is_empty() && published.is_none() {
             continue;
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -1,7 +1,10 @@
 //! Applies the records of other gateways, and removes those that nobody renews.
 
 use std::{
-    sync::{atomic::Ordering, Arc, Mutex},
+    sync::{
+        atomic::{AtomicU32, Ordering},
+        Arc, Mutex,
+    },
     time::Duration,
 };
 
@@ -14,16 +17,21 @@
 use crate::{
     app::{lock, App},
     feed::{FeedEntry, Listing},
-    feed_watcher::{watch_feed, Update},
+    feed_watcher::{poll_feed, Poll, Update},
 };
 
 /// Name of the feed of other gateways' records in log events.
 const PEERS_FEED: &str = "peers";
 
-/// Interval between checks beside the watch. Reports must arrive within 3 s, the
-/// client's timeout margin included; they are rare, so that most checks are made
-/// for nothing.
-const REPORT_CHECK_INTERVAL: Duration = Duration::from_millis(2_100);
+/// Interval between reads while nothing has happened. With the time until a report
+/// is written it stays below 3 s, within which reports must be known.
+const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(1_500);
+
+/// Interval between reads while instances end or name limits.
+const ACTIVE_POLL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Reads of which one must not return stale data while a suspect recurs.
+const POLLS_PER_CONSISTENT_READ: u32 = 2;
 
 /// Interval between checks for expired evidence and abandoned records.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(60);
@@ -40,7 +48,9 @@
     let last_changes = LastChanges::default();
     let expiry = expire(app.clone(), directory.clone(), last_changes.clone());
     async_global_executor::spawn(expiry).detach();
-    watch_feed(directory, PEERS_FEED, REPORT_CHECK_INTERVAL, |update| {
+    let polls = AtomicU32::new(0);
+    let next_poll = || next_poll(&app, polls.fetch_add(1, Ordering::Relaxed));
+    poll_feed(directory, PEERS_FEED, next_poll, |update| {
         let is_snapshot = matches!(update, Update::Snapshot(_));
         let (Update::Snapshot(listing) | Update::Changes(listing)) = update;
         if is_snapshot {
@@ -57,6 +67,23 @@
     .await;
 }
 
+/// Decides how the records are read next; `number` counts the reads.
+fn next_poll(app: &App, number: u32) -> Poll {
+    let now = app.now();
+    let (is_active, is_recurring) = {
+        let log = lock(&app.crash_log);
+        (log.is_active(now), log.is_recurring(now))
+    };
+    let is_active = is_active || !lock(&app.named_limits).is_empty();
+    Poll {
+        delay: match is_active {
+            true => ACTIVE_POLL_INTERVAL,
+            false => IDLE_POLL_INTERVAL,
+        },
+        is_consistent: is_recurring && number.is_multiple_of(POLLS_PER_CONSISTENT_READ),
+    }
+}
+
 fn gateways(listing: &Listing<PeerRecord>) -> IndexSet<InstanceId> {
     let entries = listing.entries.iter();
     entries
--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -10,7 +10,7 @@
 use crate::{
     app::{lock, App},
     feed::{Feed, FeedEntry},
-    feed_watcher::{watch_feed, Update, CHECK_INTERVAL},
+    feed_watcher::{watch_feed, Update},
     routing::Routing,
 };
 
@@ -24,7 +24,7 @@
 
 /// Applies each newer configuration from the feed. Never returns.
 pub(crate) async fn sync_routing(app: Arc<App>, feed: Arc<dyn Feed<Routing>>) {
-    watch_feed(feed, ROUTING_FEED, CHECK_INTERVAL, |update| {
+    watch_feed(feed, ROUTING_FEED, |update| {
         let (Update::Snapshot(listing) | Update::Changes(listing)) = update;
         for entry in listing.entries {
             match entry {
@@ -65,7 +65,7 @@
 
 /// Applies each update of the instance list to the roster. Never returns.
 pub(crate) async fn sync_roster(app: Arc<App>, feed: Arc<dyn Feed<Member>>) {
-    watch_feed(feed, ROSTER_FEED, CHECK_INTERVAL, |update| {
+    watch_feed(feed, ROSTER_FEED, |update| {
         let before = app.view.load().revision;
         let revision = match update {
             Update::Snapshot(listing) => {
--- a/crates/policy/src/crash_evidence/evidence_set.rs
+++ b/crates/policy/src/crash_evidence/evidence_set.rs
@@ -178,6 +178,11 @@
         seen_at.max().unwrap_or_default()
     }
 
+    /// Returns when the last end was seen.
+    pub(super) fn last_seen_at(&self) -> Option<TimeMs> {
+        self.ends.values().map(|record| record.seen_at).max()
+    }
+
     /// Returns the newest ends in a form that can be published, those with an
     /// important suspect first.
     pub(super) fn export(&self, is_important: impl Fn(&Suspect) -> bool) -> Vec<EndEvidence> {
--- a/crates/policy/src/named_limit.rs
+++ b/crates/policy/src/named_limit.rs
@@ -65,7 +65,7 @@
 impl NamedLimits {
     /// Time from the publication of a claim until it counts, in milliseconds: by
     /// then other gateways have read it, and this one has read theirs.
-    pub const SETTLE_MS: u64 = 800;
+    pub const SETTLE_MS: u64 = 1_500;
     /// Seconds of the limit, and requests beside them, that all gateways together
     /// may save up for a burst.
     const BURST_S: f64 = 1.0;
