Read reports without staleness once an instance ended, not while suspects recur

Cause: in each burst of ends some rare part has two uncleared ends for the full five seconds, so that all gateways made a read at the full price every second. These reads could not help those who had heard of no end.

Change: one such read when an instance has ended, and every 2.5 s while ends go on.

--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicU64, Ordering},
         Arc, Mutex,
     },
     time::Duration,
@@ -30,8 +30,9 @@
 /// Interval between reads while instances end or name limits.
 const ACTIVE_POLL_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Reads of which one must not return stale data while a suspect recurs.
-const POLLS_PER_CONSISTENT_READ: u32 = 2;
+/// Shortest time between two reads that must not return stale data, in
+/// milliseconds. The first one follows as soon as an instance has ended.
+const CONSISTENT_READ_INTERVAL_MS: u64 = 2_500;
 
 /// Interval between checks for expired evidence and abandoned records.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(60);
@@ -48,8 +49,8 @@
     let last_changes = LastChanges::default();
     let expiry = expire(app.clone(), directory.clone(), last_changes.clone());
     async_global_executor::spawn(expiry).detach();
-    let polls = AtomicU32::new(0);
-    let next_poll = || next_poll(&app, polls.fetch_add(1, Ordering::Relaxed));
+    let consistent_at_ms = AtomicU64::new(0);
+    let next_poll = || next_poll(&app, &consistent_at_ms);
     poll_feed(directory, PEERS_FEED, next_poll, |update| {
         let is_snapshot = matches!(update, Update::Snapshot(_));
         let (Update::Snapshot(listing) | Update::Changes(listing)) = update;
@@ -67,20 +68,23 @@
     .await;
 }
 
-/// Decides how the records are read next; `number` counts the reads.
-fn next_poll(app: &App, number: u32) -> Poll {
+/// Decides how the records are read next. `consistent_at_ms` holds the time of the
+/// last read that did not return stale data.
+fn next_poll(app: &App, consistent_at_ms: &AtomicU64) -> Poll {
     let now = app.now();
-    let (is_active, is_recurring) = {
-        let log = lock(&app.crash_log);
-        (log.is_active(now), log.is_recurring(now))
-    };
-    let is_active = is_active || !lock(&app.named_limits).is_empty();
+    let has_ends = lock(&app.crash_log).is_active(now);
+    let is_active = has_ends || !lock(&app.named_limits).is_empty();
+    let last_consistent_at = TimeMs(consistent_at_ms.load(Ordering::Relaxed));
+    let is_consistent = has_ends && now.since(last_consistent_at) >= CONSISTENT_READ_INTERVAL_MS;
+    if is_consistent {
+        consistent_at_ms.store(now.0, Ordering::Relaxed);
+    }
     Poll {
         delay: match is_active {
             true => ACTIVE_POLL_INTERVAL,
             false => IDLE_POLL_INTERVAL,
         },
-        is_consistent: is_recurring && number.is_multiple_of(POLLS_PER_CONSISTENT_READ),
+        is_consistent,
     }
 }
 
--- a/crates/policy/src/crash_evidence/mod.rs
+++ b/crates/policy/src/crash_evidence/mod.rs
@@ -88,10 +88,8 @@
     /// Number of uncleared ends of each suspect that has any.
     uncleared: IndexMap<Suspect, usize>,
     quarantined: IndexMap<Suspect, Quarantine>,
-    /// When the last end was seen, and the last one of a suspect that has several
-    /// uncleared ends.
+    /// When the last end was seen.
     last_end_at: Option<TimeMs>,
-    last_recurrence_at: Option<TimeMs>,
     /// Trials that this process has already asked for.
     tried: IndexSet<TrialId>,
 }
@@ -125,8 +123,6 @@
     const SHARED_CLEARANCE_MIN: usize = 2;
     /// Time for which an end makes further ones likely, in milliseconds.
     const ACTIVE_MS: u64 = 5_000;
-    /// Ends of one suspect from which it recurs.
-    const RECURRING_ENDS: usize = 2;
     /// Trials remembered; the oldest are forgotten first.
     const TRIED_MAX: usize = 256;
 
@@ -147,13 +143,6 @@
             .is_some_and(|at| now.since(at) < Self::ACTIVE_MS)
     }
 
-    /// Returns whether a suspect was waiting at several ends, the last of them a
-    /// short time ago, and has not been cleared.
-    pub fn is_recurring(&self, now: TimeMs) -> bool {
-        self.last_recurrence_at
-            .is_some_and(|at| now.since(at) < Self::ACTIVE_MS)
-    }
-
     /// Returns whether this process has already recorded the end itself.
     pub fn has_observed(&self, end: &InstanceEnd) -> bool {
         self.own.contains(end)
@@ -278,10 +267,6 @@
             .map(|(suspect, ends)| (*suspect, ends.len()))
             .collect();
         self.last_end_at = self.known.last_seen_at();
-        let recurring = by_suspect
-            .values()
-            .filter(|ends| ends.len() >= Self::RECURRING_ENDS);
-        self.last_recurrence_at = recurring.map(|ends| self.known.newest_seen_at(ends)).max();
         self.quarantined.clear();
         let mut candidates = by_suspect;
         candidates.retain(|_, ends| self.known.is_sufficient(ends));
