Rebuild the view of the instances one at a time

Cause: the configuration and the instance list arrive at the same time on two executor threads, and both rebuild the view. The one that had read the empty roster first could store last; the view stayed empty until the roster changed again. Only gateways with more than one thread are concerned.

Ruled out: the order of readiness and view mended before; limits and quarantine (no instance ends or names a limit in these tests).

Change: the lock of the placers is held from reading the roster until the view is stored.

--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -227,12 +227,13 @@
     /// Rebuilds the view and the members of the placers from the current roster
     /// and configuration, and returns the new view.
     pub(crate) fn refresh_view(&self) -> Arc<RosterView> {
+        // Held throughout: a concurrent call must not store what it read earlier.
+        let mut placers = lock(&self.placers);
         let (revision, usable) = {
             let roster = lock(&self.roster);
             (roster.revision(), roster.usable())
         };
         let routing = self.routing.load();
-        let mut placers = lock(&self.placers);
         for (upstream, placer) in placers.iter_mut() {
             if !usable.contains_key(upstream) {
                 placer.set_members(&[]);
@@ -258,9 +259,9 @@
                 view.addrs.insert(member.instance, member.addr);
             }
         }
-        drop(placers);
         let view = Arc::new(view);
         self.view.store(view.clone());
+        drop(placers);
         let is_listed = |instance: &InstanceId, incarnation: u64| {
             view.incarnation(instance) == Some(incarnation)
         };
