Lift a limit only on an answer of the instance itself

Found by reading: any response without the header lifted a limit, also a refusal without having run the request (as far as an instance names its limit only in answers) or one of another instance at the same address (421).

Change: a limit is lifted by a signed response of the expected instance only.

--- a/crates/gateway/src/attempt/receive.rs
+++ b/crates/gateway/src/attempt/receive.rs
@@ -136,10 +136,13 @@
                 .app
                 .header_codec
                 .decode_response(response.status, &response.headers);
-            let start = (&instance, self.incarnation);
-            let request_id = &self.request.request_id;
-            self.app
-                .on_limit(request_id, sent_at, start, meta.limit_milli_per_s);
+            // Only an answer of the instance itself shows that it names no limit.
+            if !meta.misdirected && (meta.limit_milli_per_s.is_some() || meta.signed) {
+                let start = (&instance, self.incarnation);
+                let request_id = &self.request.request_id;
+                self.app
+                    .on_limit(request_id, sent_at, start, meta.limit_milli_per_s);
+            }
             let exchange = Exchange::new(response, load_guard, lease);
             let handled = self.handle_response(exchange, &meta, events).await;
             handled.map_err(|error| error.with_progress(Progress::Head))
