--- /dev/null
+++ b/review/standins/src/cases/mod.rs
@@ -0,0 +1,5 @@
+//! The cases, one module each.
+
+pub mod expect_continue;
+pub mod leaving_engines;
+pub mod revoked_key;
