--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -154,6 +154,12 @@
         Err("the gateway is not ready".into())
     }
 
+    /// Sends a signal to the gateway.
+    pub fn signal(&self, name: &str) -> Result<()> {
+        self.record.line(&format!("the gateway gets SIG{name}"));
+        Ok(signal(self.gateway.id(), name)?)
+    }
+
     /// Writes a configuration in which the tenant has these keys. It is
     /// acknowledged on return.
     pub fn configure(&self, version: u64, keys: &[&str]) {
