review: case 5, an engine's signature with another status

Cause: the gateway turns a status that the HTTP library does not know into 502 and keeps the engine's headers.

Change: a script whose engines fail a third of their orders with 529.

--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -24,6 +24,10 @@
 /// Body of an answer that is not a stream.
 const ANSWER: &str = "the answer of the engine";
 
+/// Status of a run that failed, as engines for language models use it when they
+/// are overloaded. It is not in the registry of statuses.
+pub const OVERLOADED: u16 = 529;
+
 /// Events in the answer to a stream.
 const EVENTS: u32 = 5;
 
@@ -74,7 +78,9 @@
     gone: Arc<AtomicBool>,
     /// Number of runs of which one loses its answer; 0 if none does.
     loses_one_in: Arc<AtomicU64>,
-    /// Number of runs since answers began to be lost.
+    /// Number of runs of which one fails; 0 if none does.
+    fails_one_in: Arc<AtomicU64>,
+    /// Number of runs since the disruption began.
     counted_runs: Arc<AtomicU64>,
     connections: Arc<Mutex<Vec<TcpStream>>>,
 }
@@ -95,6 +101,7 @@
             silent: Arc::default(),
             gone: Arc::default(),
             loses_one_in: Arc::default(),
+            fails_one_in: Arc::default(),
             counted_runs: Arc::default(),
             connections: Arc::default(),
         };
@@ -146,6 +153,13 @@
         ));
     }
 
+    /// From now on fails one in `runs` of its runs, with [`OVERLOADED`].
+    pub fn fail_runs(&self, runs: u64) {
+        self.fails_one_in.store(runs, Ordering::SeqCst);
+        self.record
+            .line(&format!("engine {} fails one in {runs} runs", self.id));
+    }
+
     fn exit(&self) {
         self.gone.store(true, Ordering::SeqCst);
         self.record.line(&format!("engine {} exits", self.id));
@@ -209,7 +223,8 @@
         self.record
             .line(&format!("engine {} runs {request_id}", self.id));
         thread::sleep(self.spec.work);
-        if self.loses_answer() {
+        let count = self.counted_runs.fetch_add(1, Ordering::SeqCst);
+        if is_hit(count, &self.loses_one_in) {
             self.record.line(&format!(
                 "engine {} has run {request_id} to the end; the answer is lost",
                 self.id
@@ -217,6 +232,13 @@
             wait_for_close(stream);
             return false;
         }
+        if is_hit(count, &self.fails_one_in) {
+            self.record.line(&format!(
+                "engine {} answers {OVERLOADED} for {request_id}",
+                self.id
+            ));
+            return self.send_failure(request_id, stream);
+        }
         let sent = match self.spec.streams {
             true => self.send_stream(request_id, stream),
             false => self.send_answer(request_id, stream),
@@ -226,17 +248,10 @@
         sent
     }
 
-    fn loses_answer(&self) -> bool {
-        match self.loses_one_in.load(Ordering::SeqCst) {
-            0 => false,
-            runs => self.counted_runs.fetch_add(1, Ordering::SeqCst) % runs == 0,
-        }
-    }
-
-    fn head(&self, request_id: &str, framing: &str) -> String {
+    fn head(&self, status: u16, request_id: &str, framing: &str) -> String {
         let id = &self.id;
         format!(
-            "HTTP/1.1 200 OK\r\nX-Limpetgw-Request-Id: {request_id}\r\n\
+            "HTTP/1.1 {status} Any\r\nX-Limpetgw-Request-Id: {request_id}\r\n\
              X-Limpetgw-Server-Seal: {id}.{request_id}\r\nKeep-Alive: timeout=5\r\n\
              {framing}\r\n\r\n"
         )
@@ -244,13 +259,18 @@
 
     fn send_answer(&self, request_id: &str, mut stream: &TcpStream) -> bool {
         let framing = format!("Content-Length: {}", ANSWER.len());
-        let text = self.head(request_id, &framing) + ANSWER;
+        let text = self.head(200, request_id, &framing) + ANSWER;
+        stream.write_all(text.as_bytes()).is_ok()
+    }
+
+    fn send_failure(&self, request_id: &str, mut stream: &TcpStream) -> bool {
+        let text = self.head(OVERLOADED, request_id, "Content-Length: 0");
         stream.write_all(text.as_bytes()).is_ok()
     }
 
     fn send_stream(&self, request_id: &str, mut stream: &TcpStream) -> bool {
         let framing = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked";
-        let mut text = self.head(request_id, framing);
+        let mut text = self.head(200, request_id, framing);
         for event in 1..=EVENTS {
             let event = format!("id: {event}\ndata: part {event}\n\n");
             text += &format!("{:x}\r\n{event}\r\n", event.len());
@@ -264,6 +284,12 @@
     }
 }
 
+/// Returns whether the event with this number is one in as many as `one_in` says.
+fn is_hit(number: u64, one_in: &AtomicU64) -> bool {
+    let one_in = one_in.load(Ordering::SeqCst);
+    one_in > 0 && number % one_in == 0
+}
+
 /// Waits until the peer closes the connection, at most [`LOST_WAIT`].
 fn wait_for_close(stream: &TcpStream) {
     let lost_at = Instant::now();
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -57,6 +57,7 @@
     let finding = match case {
         "leaving-engines" => cases::leaving_engines::run(record, with_trouble),
         "expect-continue" => cases::expect_continue::run(record, with_trouble),
+        "failing-engines" => cases::failing_engines::run(record, with_trouble),
         "revoked-key" => cases::revoked_key::run(record, with_trouble),
         "frozen-gateway" => cases::frozen_gateway::run(record, with_trouble),
         _ => Err(format!("there is no case {case}").into()),
