Log heads that the connection guard rejects

Change: events HeadRejected (5007, 1012) with code, bytes received and the number of responses begun on the connection before. Decisions are unchanged.

--- a/crates/entry/src/guard.rs
+++ b/crates/entry/src/guard.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use net::{GuardPolicy, HeadRejection};
+use net::{GuardPolicy, HeadRejection, RejectionContext};
+use telemetry::{emit, events::EntryEvent};
 use types::{ErrorCode, RequestId};
 
 use crate::{
@@ -30,14 +31,22 @@
         self.request_timeout
     }
 
+    fn on_rejected(&self, rejection: HeadRejection, context: RejectionContext) {
+        emit(&EntryEvent::HeadRejected {
+            code: error_code(rejection),
+            received_bytes: context.received_bytes,
+            responses_before: context.responses_before,
+        });
+    }
+
     fn rejection_response(&self, rejection: HeadRejection) -> Vec<u8> {
         let failure = match rejection {
             HeadRejection::TimedOut { timeout_ms } => Failure::not_run(
-                ErrorCode::RequestTimeout,
+                error_code(rejection),
                 format!("the request head was incomplete; send the whole request within {timeout_ms} ms"),
             ),
             HeadRejection::TooLarge { max_bytes } => Failure::not_run(
-                ErrorCode::HeadersTooLarge,
+                error_code(rejection),
                 format!("the request head is too large; send at most {max_bytes} bytes"),
             ),
         };
@@ -57,3 +66,10 @@
     )
     .into_bytes()
 }
+
+fn error_code(rejection: HeadRejection) -> ErrorCode {
+    match rejection {
+        HeadRejection::TimedOut { .. } => ErrorCode::RequestTimeout,
+        HeadRejection::TooLarge { .. } => ErrorCode::HeadersTooLarge,
+    }
+}
--- a/crates/gateway/src/guard.rs
+++ b/crates/gateway/src/guard.rs
@@ -3,7 +3,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use net::{GuardPolicy, HeadRejection};
+use net::{GuardPolicy, HeadRejection, RejectionContext};
+use telemetry::{emit, events::GatewayEvent};
 use types::ErrorCode;
 
 use crate::{app::App, failure::Failure};
@@ -29,14 +30,22 @@
         STALL_TIMEOUT
     }
 
+    fn on_rejected(&self, rejection: HeadRejection, context: RejectionContext) {
+        emit(&GatewayEvent::HeadRejected {
+            code: error_code(rejection),
+            received_bytes: context.received_bytes,
+            responses_before: context.responses_before,
+        });
+    }
+
     fn rejection_response(&self, rejection: HeadRejection) -> Vec<u8> {
         let failure = match rejection {
             HeadRejection::TimedOut { timeout_ms } => Failure::not_run(
-                ErrorCode::RequestTimeout,
+                error_code(rejection),
                 format!("request head not complete within {timeout_ms} ms"),
             ),
             HeadRejection::TooLarge { max_bytes } => Failure::not_run(
-                ErrorCode::HeadersTooLarge,
+                error_code(rejection),
                 format!("request head is larger than {max_bytes} bytes"),
             ),
         };
@@ -50,3 +59,10 @@
         .into_bytes()
     }
 }
+
+fn error_code(rejection: HeadRejection) -> ErrorCode {
+    match rejection {
+        HeadRejection::TimedOut { .. } => ErrorCode::RequestTimeout,
+        HeadRejection::TooLarge { .. } => ErrorCode::HeadersTooLarge,
+    }
+}
--- a/crates/net/src/connection_guard.rs
+++ b/crates/net/src/connection_guard.rs
@@ -60,6 +60,18 @@
     /// Returns the raw HTTP response to a rejected head. The connection is
     /// closed after it.
     fn rejection_response(&self, rejection: HeadRejection) -> Vec<u8>;
+
+    /// Records that a head was rejected.
+    fn on_rejected(&self, rejection: HeadRejection, context: RejectionContext);
+}
+
+/// What preceded the rejection of a head on its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RejectionContext {
+    /// Bytes of the head that were received.
+    pub received_bytes: usize,
+    /// Responses that were begun on the connection before.
+    pub responses_before: u32,
 }
 
 /// Acceptor that wraps each accepted connection in a [`GuardedConnection`].
@@ -89,6 +101,7 @@
             policy: self.0.clone(),
             phase: Phase::idle(),
             write_stall_timer: None,
+            responses: 0,
         })
     }
 
@@ -130,6 +143,8 @@
     phase: Phase,
     /// Started when a write blocks; fires after [`GuardPolicy::stall_timeout`].
     write_stall_timer: Option<Timer>,
+    /// Responses that were begun.
+    responses: u32,
 }
 
 impl<T: Transport, P: GuardPolicy> GuardedConnection<T, P> {
@@ -178,8 +193,25 @@
         }
     }
 
+    /// Records that the response is being written.
+    fn begin_response(&mut self) {
+        if !matches!(self.phase, Phase::Idle { .. }) {
+            self.responses += 1;
+        }
+        self.phase = Phase::idle();
+    }
+
     /// Starts to write the response to a rejected head.
     fn reject(&mut self, rejection: HeadRejection) {
+        let received_bytes = match self.phase {
+            Phase::ReadingHead { size_bytes, .. } => size_bytes,
+            _ => 0,
+        };
+        let context = RejectionContext {
+            received_bytes,
+            responses_before: self.responses,
+        };
+        self.policy.on_rejected(rejection, context);
         self.phase = Phase::Rejecting {
             response: self.policy.rejection_response(rejection),
             written: 0,
@@ -257,7 +289,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.phase = Phase::idle();
+        self.begin_response();
         let wrote = Pin::new(&mut self.inner).poll_write(cx, buf);
         self.fail_stalled_write(cx, wrote)
     }
@@ -267,7 +299,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.phase = Phase::idle();
+        self.begin_response();
         let wrote = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
         self.fail_stalled_write(cx, wrote)
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,7 +7,9 @@
 mod lifecycle;
 mod listener;
 
-pub use connection_guard::{ConnectionGuard, GuardPolicy, GuardedConnection, HeadRejection};
+pub use connection_guard::{
+    ConnectionGuard, GuardPolicy, GuardedConnection, HeadRejection, RejectionContext,
+};
 pub use connector::{ConnectFailed, TimeoutConnector};
 pub use lifecycle::{watch_signal, InFlight, Lifecycle};
 pub use listener::{listen, BACKLOG_CONNECTIONS};
--- a/crates/telemetry/src/events/entry.rs
+++ b/crates/telemetry/src/events/entry.rs
@@ -119,5 +119,14 @@
             waited_ms: u64,
         } = "A short request without any response so far was also sent to a second instance.",
             "Investigate the first instance if this happens often.";
+        1012 Info HeadRejected {
+            /// Error code of the response.
+            code: ErrorCode,
+            /// Bytes of the head that were received.
+            received_bytes: usize,
+            /// Responses that were begun on the connection before.
+            responses_before: u32,
+        } = "A request head was rejected before it was complete; the connection was closed after the response.",
+            "Many indicate callers that exceed the limits, or that stall.";
     }
 }
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -137,6 +137,15 @@
             /// Time since the request was received, in milliseconds.
             total_ms: u64,
         } = "The caller disconnected; the upstream request was cancelled.", "Nothing.";
+        5007 Info HeadRejected {
+            /// Error code of the response.
+            code: ErrorCode,
+            /// Bytes of the head that were received.
+            received_bytes: usize,
+            /// Responses that were begun on the connection before.
+            responses_before: u32,
+        } = "A request head was rejected before it was complete; the connection was closed after the response.",
+            "Many indicate callers that exceed the limits, or that stall.";
         5010 Info RoutingInForce {
             /// Version that is now active.
             version: u64,
