Let the connection guard follow the framing of requests

Cause: the guard below the HTTP library looked for the end of a head only. Its state went back to 'awaiting a head' with the first byte written, so that the rest of the body, which the library reads after the response, was taken for a head. Ruled out: the library parses the rest (no 400 came, and the limit was the guard's 48 KiB), a large head of the order (HeadRejected shows one response begun before and the size of the prompt).

Change: the guard finds the end of each request itself, passes on one request at a time, writes only while a head is incomplete, rejects ambiguous framing, discards the rest of a request that has its response within a bound, and lingers when it is closed within a request. HTTP/2 with prior knowledge is refused.

--- a/crates/entry/src/guard.rs
+++ b/crates/entry/src/guard.rs
@@ -49,6 +49,10 @@
                 error_code(rejection),
                 format!("the request head is too large; send at most {max_bytes} bytes"),
             ),
+            HeadRejection::Malformed { reason } => Failure::not_run(
+                error_code(rejection),
+                format!("the request is malformed: {reason}"),
+            ),
         };
         raw_response(&failure, &request_id::from_header(None))
     }
@@ -71,5 +75,6 @@
     match rejection {
         HeadRejection::TimedOut { .. } => ErrorCode::RequestTimeout,
         HeadRejection::TooLarge { .. } => ErrorCode::HeadersTooLarge,
+        HeadRejection::Malformed { .. } => ErrorCode::MalformedRequest,
     }
 }
--- a/crates/gateway/src/guard.rs
+++ b/crates/gateway/src/guard.rs
@@ -48,6 +48,10 @@
                 error_code(rejection),
                 format!("request head is larger than {max_bytes} bytes"),
             ),
+            HeadRejection::Malformed { reason } => Failure::not_run(
+                error_code(rejection),
+                format!("the request is malformed: {reason}"),
+            ),
         };
         let status = failure.code.http_status();
         let body = failure.body(None);
@@ -64,5 +68,6 @@
     match rejection {
         HeadRejection::TimedOut { .. } => ErrorCode::RequestTimeout,
         HeadRejection::TooLarge { .. } => ErrorCode::HeadersTooLarge,
+        HeadRejection::Malformed { .. } => ErrorCode::MalformedRequest,
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,6 +6,7 @@
 mod connector;
 mod lifecycle;
 mod listener;
+mod request_framing;
 
 pub use connection_guard::{
     ConnectionGuard, GuardPolicy, GuardedConnection, HeadRejection, RejectionContext,
