End requests with a true status before a stopping gateway exits

Cause: the drain waited for requests in flight until 250 ms before the kill and exited. Requests that waited for a silent instance (a lost answer) got a bare close, though the gateway knew whether they had been passed on. The wait was summed up from nominal timer intervals, so that the exit came late (7.82 s in place of 7.75 s). Ruled out: requests taken after the balancer lag (none reached an instance later than 2.5 s after SIGTERM), a slow process (none cut with 5 or 10 ms of 100).

Change: 500 ms before the end of the grace period, requests without a response end with 504 'may have run' or 503 'not run', begun streams are cut and logged, and the drain is timed by the clock. RequestsEnded (5032) tells how many there were.

Before: gateway_stop 3 of 3 red, graceful_shutdown 4 red.

--- a/crates/gateway/src/attempt/failover.rs
+++ b/crates/gateway/src/attempt/failover.rs
@@ -109,10 +109,12 @@
         self.request.route.retry_policy != RetryPolicy::NotRunOnly && self.has_attempt_left()
     }
 
-    /// Returns whether the attempt limit and the time left allow another
-    /// attempt.
+    /// Returns whether the attempt limit, the time left and a stop of the process
+    /// allow another attempt.
     fn has_attempt_left(&self) -> bool {
-        self.attempts < self.request.route.attempts_max && self.remaining() > ATTEMPT_TIME_MIN
+        !self.app.lifecycle.has_ended_requests()
+            && self.attempts < self.request.route.attempts_max
+            && self.remaining() > ATTEMPT_TIME_MIN
     }
 
     /// Returns whether a stalled stream may move to another instance, which
--- a/crates/gateway/src/attempt/receive.rs
+++ b/crates/gateway/src/attempt/receive.rs
@@ -147,7 +147,14 @@
             let handled = self.handle_response(exchange, &meta, events).await;
             handled.map_err(|error| error.with_progress(Progress::Head))
         };
-        received.or(self.wait_for_failover(&instance)).await
+        let ended = async {
+            self.app.lifecycle.requests_ended().await;
+            Err(AttemptError::failed("this process has to stop"))
+        };
+        received
+            .or(self.wait_for_failover(&instance))
+            .or(ended)
+            .await
     }
 
     /// Checks that the response belongs to the request, then reads the complete
--- a/crates/gateway/src/attempt/session.rs
+++ b/crates/gateway/src/attempt/session.rs
@@ -18,7 +18,7 @@
 };
 use crate::{
     app::{lock, App},
-    failure::Failure,
+    failure::{stopping_may_have_run, stopping_not_run, unless_ended, Failure},
     request::Request,
     response::{BufferedResponse, EventBuffer, OpenedStream},
     upstream::{ConnectError, Connection, Lease},
@@ -184,11 +184,14 @@
     /// Makes attempts until one succeeds or no retry is allowed.
     async fn run_attempts(&mut self, mut events: EventBuffer) -> Result<Received, Failure> {
         loop {
-            self.check_quarantine().await?;
+            let (app, may_have_run) = (self.app.clone(), self.may_have_run);
+            let stopping = || stopping_failure(may_have_run);
+            unless_ended(&app.lifecycle, self.check_quarantine(), stopping).await?;
             if self.attempts == 0 {
                 self.check_overload()?;
             }
-            let (placement, load_guard, connection, lease) = self.connect().await?;
+            let (placement, load_guard, connection, lease) =
+                unless_ended(&app.lifecycle, self.connect(), stopping).await?;
             self.attempts += 1;
             self.log_placed(&placement);
             let sent_at = self.app.now();
@@ -329,6 +332,9 @@
 
     /// Returns the failure for the caller, covering all attempts.
     fn final_failure(&self, attempt_error: &AttemptError) -> Failure {
+        if self.app.lifecycle.has_ended_requests() {
+            return stopping_failure(self.may_have_run);
+        }
         if self.remaining().is_zero() {
             return self.deadline_failure(&attempt_error.reason);
         }
@@ -347,3 +353,11 @@
         }
     }
 }
+
+/// Returns the failure for a request that the stopping process ends.
+fn stopping_failure(may_have_run: bool) -> Failure {
+    match may_have_run {
+        true => stopping_may_have_run(),
+        false => stopping_not_run(),
+    }
+}
--- a/crates/gateway/src/failure.rs
+++ b/crates/gateway/src/failure.rs
@@ -1,10 +1,44 @@
 //! Error responses that the gateway generates when no instance provides one.
 
+use std::future::Future;
+
+use futures_lite::FutureExt;
+use net::Lifecycle;
 use trillium::{Conn, Status};
 use types::{ErrorBody, ErrorCode, RequestId, Verdict};
 
 use crate::header_codec::HeaderCodec;
 
+/// Suggested retry delay while the process is stopping. The balancer routes the
+/// retry to another process.
+const STOPPING_RETRY_MS: u64 = 50;
+
+/// Creates the failure for a request that a stopping process did not send.
+pub(crate) fn stopping_not_run() -> Failure {
+    let reason = "this process is shutting down; retry on another one";
+    Failure::not_run(ErrorCode::Draining, reason).retry_after(STOPPING_RETRY_MS)
+}
+
+/// Creates the failure for a request that was sent, and whose response did not
+/// begin before the process has to stop.
+pub(crate) fn stopping_may_have_run() -> Failure {
+    let reason = "this process is shutting down, and the instance has not responded";
+    Failure::may_have_run(ErrorCode::DeadlineExceeded, reason)
+}
+
+/// Waits for `work`; returns `failure` if the process ends its requests first.
+pub(crate) async fn unless_ended<T>(
+    lifecycle: &Lifecycle,
+    work: impl Future<Output = Result<T, Failure>>,
+    failure: impl FnOnce() -> Failure,
+) -> Result<T, Failure> {
+    let ended = async {
+        lifecycle.requests_ended().await;
+        Err(failure())
+    };
+    work.or(ended).await
+}
+
 /// Error with which a request ends when no instance's response is relayed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{code:?} ({verdict:?}): {reason}")]
--- a/crates/gateway/src/response/stream.rs
+++ b/crates/gateway/src/response/stream.rs
@@ -67,6 +67,8 @@
     events: EventBuffer,
     /// Fires at the deadline of the request.
     deadline: Timer,
+    /// Completes when the process has to stop.
+    requests_ended: Pin<Box<dyn Future<Output = ()> + Send>>,
     /// Fires after [`STALL_CHECK_INTERVAL`] without data.
     stall_timer: Timer,
     /// Whether the server had the chance to write out the last events before
@@ -79,7 +81,9 @@
 impl StreamBody {
     pub(crate) fn new(opened: OpenedStream) -> Self {
         let remaining = opened.session.remaining();
+        let app = opened.session.app.clone();
         Self {
+            requests_ended: Box::pin(async move { app.lifecycle.requests_ended().await }),
             source: Source::Active(Box::new((opened.session, opened.exchange))),
             events: opened.events,
             deadline: Timer::after(remaining),
@@ -98,6 +102,9 @@
             if Pin::new(&mut self.deadline).poll(cx).is_ready() {
                 self.abort("the request deadline has passed");
             }
+            if self.is_ended(cx) {
+                self.abort("this process has to stop");
+            }
             match &mut self.source {
                 Source::Complete(_) | Source::Failed => return Poll::Ready(()),
                 Source::Active(_) => ready!(self.poll_active(cx)),
@@ -106,6 +113,12 @@
         }
     }
 
+    /// Returns whether the process has to stop before the stream is complete.
+    fn is_ended(&mut self, cx: &mut Context<'_>) -> bool {
+        let is_open = matches!(self.source, Source::Active(_) | Source::Resuming(_));
+        is_open && self.requests_ended.as_mut().poll(cx).is_ready()
+    }
+
     /// Reads from the instance; on a stall or an error, resumes the stream on
     /// another one if allowed.
     fn poll_active(&mut self, cx: &mut Context<'_>) -> Poll<()> {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -16,7 +16,7 @@
 use crate::{
     app::App,
     attempt::{Outcome, Session},
-    failure::Failure,
+    failure::{stopping_not_run, unless_ended, Failure},
     header_codec::RequestMeta,
     headers,
     request::Request,
@@ -39,10 +39,6 @@
 /// Suggested retry delay while the process has no configuration.
 const NOT_CONFIGURED_RETRY_MS: u64 = 400;
 
-/// Suggested retry delay while the process is draining. The balancer routes the
-/// retry to another process.
-const DRAINING_RETRY_MS: u64 = 50;
-
 /// Serves one request and returns the connection with its response.
 pub(crate) async fn serve(app: Arc<App>, mut conn: Conn) -> Conn {
     let received_at = app.now();
@@ -53,18 +49,22 @@
         Err(_) => None,
     };
     let Some(in_flight) = app.lifecycle.enter() else {
-        let failure = Failure::not_run(
-            ErrorCode::Draining,
-            "this process is shutting down; retry on another one",
+        return reject(
+            &app,
+            conn,
+            request_id.as_ref(),
+            &stopping_not_run(),
+            received_at,
         );
-        let failure = failure.retry_after(DRAINING_RETRY_MS);
-        return reject(&app, conn, request_id.as_ref(), &failure, received_at);
     };
     // The process must not exit before the response was written.
     let inner: &mut trillium_http::Conn<_> = conn.as_mut();
     inner.after_send(move |_| drop(in_flight));
     let admitted = match meta {
-        Ok(meta) => admit(&app, &mut conn, headers, meta, received_at).await,
+        Ok(meta) => {
+            let admitted = admit(&app, &mut conn, headers, meta, received_at);
+            unless_ended(&app.lifecycle, admitted, stopping_not_run).await
+        }
         Err(reason) => Err(Failure::not_run(ErrorCode::MalformedRequest, reason)),
     };
     let request = match admitted {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,6 +1,10 @@
 //! Startup of the two listeners and background tasks, and graceful shutdown.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use net::ConnectionGuard;
 use policy::roster::Member;
@@ -28,13 +32,17 @@
 /// limit.
 const HEAD_MAX_BYTES: usize = 64 << 10;
 
-/// Interval at which a draining process checks for requests in flight.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time for which the listeners may close before the process exits.
+const LISTENER_CLOSE_TIME: Duration = Duration::from_millis(20);
 
 /// Time before the end of the grace period at which the process exits by
 /// itself, before it would be killed.
 const GRACE_MARGIN: Duration = Duration::from_millis(250);
 
+/// Time before the end of the grace period at which the requests in flight have
+/// to end, so that their error responses can be written before the exit.
+const END_MARGIN: Duration = Duration::from_millis(500);
+
 /// Interfaces to the platform that a gateway runs on.
 pub struct PlatformAdapter {
     /// Decoder and encoder of the request metadata in headers.
@@ -132,31 +140,37 @@
         move || live::reload(&app, true)
     }
 
-    /// Waits for a drain to begin, then until no request is in flight or the
-    /// grace period is nearly over, and closes the listeners.
+    /// Waits for a drain to begin, then until no request is in flight, and closes
+    /// the listeners. Requests that are still in flight when the grace period is
+    /// nearly over are ended.
     pub async fn finished(self) {
         let app = &self.app;
         app.lifecycle.drain_begun().await;
         let settings = &app.settings;
-        let drain_timeout = app.live.load().grace.saturating_sub(GRACE_MARGIN);
+        let drain_begun_at = Instant::now();
+        let grace = app.live.load().grace;
+        let end_after = grace.saturating_sub(END_MARGIN);
         // The balancer opens connections until its next readiness check.
-        let lag = settings.balancer_lag.min(drain_timeout);
-        smol::Timer::after(lag).await;
+        smol::Timer::after(settings.balancer_lag.min(end_after)).await;
         // Closes the listener and idle keep-alive connections: a request
         // accepted later might not end within the grace period. Not awaited,
         // because a long-lived connection would delay the exit.
         drop(self.callers.shut_down());
-        let mut waited = lag;
-        while app.lifecycle.in_flight() > 0 && waited < drain_timeout {
-            smol::Timer::after(DRAIN_POLL_INTERVAL).await;
-            waited += DRAIN_POLL_INTERVAL;
+        if !app.lifecycle.is_idle_by(drain_begun_at + end_after).await {
+            emit(&GatewayEvent::RequestsEnded {
+                instance: settings.instance.clone(),
+                in_flight: app.lifecycle.in_flight(),
+            });
+            app.lifecycle.end_requests();
+            let exit_after = grace.saturating_sub(GRACE_MARGIN);
+            app.lifecycle.is_idle_by(drain_begun_at + exit_after).await;
         }
         emit(&GatewayEvent::GatewayStopped {
             instance: settings.instance.clone(),
             in_flight: app.lifecycle.in_flight(),
         });
         drop(self.operator.shut_down());
-        smol::Timer::after(DRAIN_POLL_INTERVAL).await;
+        smol::Timer::after(LISTENER_CLOSE_TIME).await;
     }
 }
 
--- a/crates/net/src/lifecycle.rs
+++ b/crates/net/src/lifecycle.rs
@@ -8,7 +8,7 @@
         atomic::{AtomicBool, AtomicU32, Ordering},
         Arc,
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use futures_lite::AsyncReadExt;
@@ -25,11 +25,13 @@
 /// # Invariants
 ///
 /// The states only advance: serving, draining while the balancer may still send
-/// requests, refusing new requests, stopped.
+/// requests, refusing new requests, ending the requests in flight, stopped.
 #[derive(Debug)]
 pub struct Lifecycle {
     /// Channel that is closed when the drain begins.
     drain_begun: (Sender<()>, Receiver<()>),
+    /// Channel that is closed when the requests in flight have to end.
+    requests_ended: (Sender<()>, Receiver<()>),
     refusing: AtomicBool,
     in_flight: Arc<AtomicU32>,
 }
@@ -58,6 +60,7 @@
     fn default() -> Self {
         Self {
             drain_begun: smol::channel::bounded(1),
+            requests_ended: smol::channel::bounded(1),
             refusing: AtomicBool::new(false),
             in_flight: Arc::new(AtomicU32::new(0)),
         }
@@ -82,6 +85,23 @@
         let _ = self.drain_begun.1.recv().await;
     }
 
+    /// Tells the requests in flight to end, because the process is about to be
+    /// killed.
+    pub fn end_requests(&self) {
+        self.requests_ended.0.close();
+    }
+
+    /// Returns whether the requests in flight have to end.
+    pub fn has_ended_requests(&self) -> bool {
+        self.requests_ended.0.is_closed()
+    }
+
+    /// Waits until the requests in flight have to end.
+    pub async fn requests_ended(&self) {
+        // Nothing is ever sent, so `recv` returns when the channel is closed.
+        let _ = self.requests_ended.1.recv().await;
+    }
+
     /// Counts a request as in flight; `None` if new requests are refused.
     pub fn enter(&self) -> Option<InFlight> {
         self.in_flight.fetch_add(1, Ordering::SeqCst);
@@ -97,6 +117,18 @@
         self.in_flight.load(Ordering::SeqCst)
     }
 
+    /// Waits until no request is in flight, at most until `deadline`. Returns
+    /// whether none is.
+    pub async fn is_idle_by(&self, deadline: Instant) -> bool {
+        while self.in_flight() > 0 {
+            if Instant::now() >= deadline {
+                return false;
+            }
+            smol::Timer::after(DRAIN_POLL_INTERVAL).await;
+        }
+        true
+    }
+
     /// Waits for `balancer_lag`, then refuses new requests and waits without a
     /// time limit until none is in flight.
     pub async fn drained(&self, balancer_lag: Duration) {
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -286,6 +286,13 @@
             reason: String,
         } = "The report for other gateways could not be written; it is retried.",
             "Check the connection to the platform's store.";
+        5032 Warn RequestsEnded {
+            /// Id of this process.
+            instance: InstanceId,
+            /// Requests in flight.
+            in_flight: u32,
+        } = "The grace period of a stop is nearly over: requests without a response get an error that says whether they may have run, and streams are cut.",
+            "Find the instances that did not respond by `RequestTurnedAway` and `AnswerCut`; raise the grace period if they were at work.";
         5030 Info InstanceLimitNamed {
             /// Request id whose response named the limit.
             request_id: RequestId,
