End a connection whose withheld body was not asked for

Cause: the HTTP library discards the rest of a body before the next head, but not for a request with 'Expect: 100-continue' to which no interim response was sent. Its handlers asked for a close after three codes only. Ruled out: the freeze as a cause (a body that comes with its head is run without one, in the new tests).

Change: the guard passes on such a head alone, and ends the connection after a response for which no byte of the body was asked; gateway and entry say so with 'connection: close'.

--- a/crates/entry/src/failure.rs
+++ b/crates/entry/src/failure.rs
@@ -69,7 +69,9 @@
             let seconds = retry_after_ms.div_ceil(1_000);
             conn.insert_response_header("retry-after", seconds.to_string());
         }
-        if self.leaves_body_unread() {
+        // A caller that awaits an interim response may send its body or not.
+        let may_withhold_body = conn.request_headers().has_header("expect");
+        if self.leaves_body_unread() || may_withhold_body {
             conn.insert_response_header("connection", "close");
         }
         conn.halt()
--- a/crates/entry/tests/early_rejections.rs
+++ b/crates/entry/tests/early_rejections.rs
@@ -88,3 +88,33 @@
         assert_eq!((first, second), (status, 200));
     });
 }
+
+/// Guards against the review's case 1 at the entry: a request that is quoted in a
+/// body that was not read must not run.
+#[test]
+fn request_quoted_in_unread_body_is_not_run() {
+    run(async {
+        let agent = FakeAgent::start("a-1", vec![]).await;
+        let entry: TestEntry = start_entry(vec![agent.instance("carving")]).await;
+        let body = chat_body("m", false);
+        let framing = format!("Content-Length: {}", body.len());
+        let quoted = [
+            request("/v1/chat/completions", API_KEY, &framing),
+            body.into_bytes(),
+        ]
+        .concat();
+        let framing = format!("Content-Length: {}\r\nExpect: 100-continue", quoted.len());
+        let rejected = request("/v1/chat/completions", "wrong", &framing);
+        let mut stream = TcpStream::connect(entry.running.addr).await.unwrap();
+
+        stream
+            .write_all(&[rejected, quoted].concat())
+            .await
+            .unwrap();
+        let first = read_status(&mut stream).await;
+        let second = read_status(&mut stream).await;
+
+        assert_eq!((first, second), (401, 0));
+        assert!(agent.dispatches().is_empty());
+    });
+}
--- a/crates/gateway/src/failure.rs
+++ b/crates/gateway/src/failure.rs
@@ -107,11 +107,13 @@
         if let Some(retry_after_ms) = self.retry_after_ms {
             conn.insert_response_header("retry-after", header_codec.retry_after(retry_after_ms));
         }
-        if matches!(
+        let is_partly_unread = matches!(
             self.code,
             ErrorCode::BodyTooLarge | ErrorCode::RequestTimeout | ErrorCode::MalformedRequest
-        ) {
-            // Unread bytes of this request would be parsed as the next one.
+        );
+        // A caller that awaits an interim response may send its body or not.
+        let may_withhold_body = conn.request_headers().has_header("expect");
+        if is_partly_unread || may_withhold_body {
             conn.insert_response_header("connection", "close");
         }
         conn.halt()
--- a/crates/net/src/connection_guard.rs
+++ b/crates/net/src/connection_guard.rs
@@ -235,6 +235,9 @@
                 self.framer = RequestFramer::new();
                 self.phase = Phase::awaiting_request();
             }
+            // The HTTP library does not skip such a body, and the caller may send it or
+            // another request next.
+            Phase::Responding if self.framer.withholds_body() => self.phase = Phase::Closing,
             Phase::Responding => {
                 self.phase = Phase::Discarding {
                     timer: Timer::after(self.policy.head_timeout()),
--- a/crates/net/src/request_framing.rs
+++ b/crates/net/src/request_framing.rs
@@ -41,6 +41,9 @@
 #[derive(Debug)]
 pub(crate) struct RequestFramer {
     state: State,
+    expects_continue: bool,
+    /// Whether a byte of the body was consumed.
+    body_begun: bool,
 }
 
 #[derive(Debug)]
@@ -96,6 +99,7 @@
 struct BodyFraming {
     chunked: bool,
     length: u64,
+    expects_continue: bool,
 }
 
 impl RequestFramer {
@@ -103,6 +107,8 @@
     pub(crate) fn new() -> Self {
         Self {
             state: State::Head { bytes: Vec::new() },
+            expects_continue: false,
+            body_begun: false,
         }
     }
 
@@ -129,7 +135,14 @@
         }
     }
 
-    /// Consumes the bytes that belong to the request and returns their number.
+    /// Returns whether the caller may wait for an interim response before it sends
+    /// the body, and no byte of the body was consumed.
+    pub(crate) fn withholds_body(&self) -> bool {
+        self.expects_continue && !self.body_begun && !self.is_complete() && !self.is_in_head()
+    }
+
+    /// Consumes the bytes that belong to the request and returns their number. The
+    /// head is consumed on its own if the caller may withhold the body.
     ///
     /// # Errors
     ///
@@ -140,6 +153,9 @@
         if let State::Head { bytes: head } = &mut self.state {
             let taken = mem::take(head);
             consumed = self.consume_head(taken, bytes)?;
+            if self.withholds_body() {
+                return Ok(consumed);
+            }
         }
         let rest = &bytes[consumed..];
         let consumed_of_body = match &mut self.state {
@@ -156,6 +172,7 @@
             }
             State::Chunked(_) => self.consume_chunks(rest)?,
         };
+        self.body_begun |= consumed_of_body > 0;
         Ok(consumed + consumed_of_body)
     }
 
@@ -197,6 +214,7 @@
             return Err(FramingError::HeadTooLarge);
         }
         let framing = body_framing(head)?;
+        self.expects_continue = framing.expects_continue;
         self.state = match (framing.chunked, framing.length) {
             (true, _) => State::Chunked(SIZE_LINE_START),
             (false, 0) => State::Complete,
@@ -326,6 +344,7 @@
 fn body_framing(head: &[u8]) -> Result<BodyFraming, FramingError> {
     let mut length: Option<u64> = None;
     let mut chunked = false;
+    let mut expects_continue = false;
     let mut rest = head;
     let mut is_request_line = true;
     while let Some(end) = memmem::find(rest, b"\r\n") {
@@ -354,6 +373,8 @@
                 ));
             }
             chunked = true;
+        } else if name.eq_ignore_ascii_case(b"expect") {
+            expects_continue = true;
         }
     }
     if chunked && length.is_some() {
@@ -364,6 +385,7 @@
     Ok(BodyFraming {
         chunked,
         length: length.unwrap_or(0),
+        expects_continue,
     })
 }
 
--- a/crates/net/tests/connection_guard.rs
+++ b/crates/net/tests/connection_guard.rs
@@ -210,6 +210,31 @@
     assert_eq!(response, Some((200, b"own".to_vec())));
 }
 
+/// Guards against request smuggling: a body that its caller sent without waiting
+/// for the interim response, and that was not read, was parsed as a request.
+#[rstest]
+fn body_of_rejected_request_that_expects_continue_is_not_parsed(
+    #[values(true, false)] sent_with_head: bool,
+    #[values("Content-Length: 60", "Transfer-Encoding: chunked")] framing: &str,
+) {
+    let mut stream = connect(start_server());
+    let quoted = with_length("/echo", b"smuggled");
+    let head = head("/reject", &format!("{framing}\r\nExpect: 100-continue"));
+
+    if sent_with_head {
+        send(&mut stream, &[head, quoted].concat());
+    } else {
+        send(&mut stream, &head);
+        std::thread::sleep(Duration::from_millis(100));
+        // Fails if the server has closed the connection.
+        let _ = stream.write_all(&quoted);
+    }
+    let response = read_response(&mut stream);
+
+    assert_eq!(response, Some((401, b"rejected".to_vec())));
+    assert_eq!(unsolicited_bytes(&mut stream), b"");
+}
+
 /// The unread bytes of a caller that is still sending must not reset the
 /// connection before the response has arrived.
 #[test]
