Tell removed entries of instances from lapsed ones

Cause: one grace of 2.5 s for entries that may have expired during an outage and for entries that a working platform removed.

Change: the roster is told why an entry is missing. Lapsed: as before. Removed and delivered at once: usable for the drain time less 0.6 s. Found later: not usable. The drain time is a setting, drain_ms.

--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -19,6 +19,7 @@
     retry::WindowedRetryBudget,
     roster::{Member, Roster},
 };
+use smol::channel::{Receiver, Sender};
 use telemetry::{emit, events::GatewayEvent};
 use types::{InstanceId, TimeMs, UpstreamName};
 
@@ -83,6 +84,8 @@
     pub(crate) unconfirmed_ends: Mutex<IndexMap<InstanceEnd, Vec<Suspect>>>,
     pub(crate) peers: PeerExchange,
     pub(crate) peer_directory: Arc<dyn PeerDirectory>,
+    /// Wakes the maintenance after a change of the roster.
+    pub(crate) maintenance_due: (Sender<()>, Receiver<()>),
     placers: Mutex<IndexMap<UpstreamName, Placer>>,
     retry_budgets: Mutex<IndexMap<UpstreamName, WindowedRetryBudget>>,
     /// Instances with a connection probe in progress, or completed less than
@@ -117,6 +120,7 @@
             unconfirmed_ends: Mutex::default(),
             peers: PeerExchange::default(),
             peer_directory,
+            maintenance_due: smol::channel::bounded(1),
             placers: Mutex::default(),
             retry_budgets: Mutex::default(),
             probing: Mutex::default(),
--- a/crates/gateway/src/feed_watcher.rs
+++ b/crates/gateway/src/feed_watcher.rs
@@ -44,6 +44,10 @@
 /// and the timeout of a list call together stay below 2 s.
 const BACKOFF_MAX: Duration = Duration::from_millis(400);
 
+/// Time after a failed call during which changes may be effects of an outage:
+/// entries that expired meanwhile return within about two seconds.
+const DISTURBANCE: Duration = Duration::from_secs(3);
+
 /// Update passed from a watched feed to its consumer.
 pub(crate) enum Update<T> {
     /// All current objects; replaces the earlier state.
@@ -53,11 +57,23 @@
     Changes(Listing<T>),
 }
 
+/// What is known about the time of the changes in an update.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Timing {
+    /// The watch delivered them as they were made.
+    Prompt,
+    /// They were found later, at a store without a known disturbance.
+    Late,
+    /// A call failed less than [`DISTURBANCE`] ago, so that the changes may be
+    /// effects of an outage.
+    Disturbed,
+}
+
 /// Watches one feed and passes each update to `on_update`. Never returns.
 pub(crate) async fn watch_feed<T>(
     feed: Arc<impl Feed<T> + ?Sized>,
     feed_name: &'static str,
-    mut on_update: impl FnMut(Update<T>),
+    mut on_update: impl FnMut(Update<T>, Timing),
 ) {
     let mut pacer = CallPacer::new(feed_name);
     let mut revision = None;
@@ -70,17 +86,18 @@
                     // Watch immediately, for changes made during the list call.
                     pacer.last_call_at = None;
                     revision = Some(listing.revision);
-                    on_update(Update::Snapshot(listing));
+                    on_update(Update::Snapshot(listing), pacer.timing(Timing::Late));
                 }
                 Err(error) => pacer.on_error(&error).await,
             }
             continue;
         };
-        match watch_with_checks(feed.as_ref(), feed_name, after).await {
+        let (result, timing) = watch_with_checks(feed.as_ref(), feed_name, after).await;
+        match result {
             Ok(WatchResult::Changes(listing)) => {
                 pacer.on_success();
                 revision = Some(listing.revision.max(after));
-                on_update(Update::Changes(listing));
+                on_update(Update::Changes(listing), pacer.timing(timing));
             }
             Ok(WatchResult::HistoryLost) => {
                 pacer.on_success();
@@ -158,7 +175,7 @@
     feed: &(impl Feed<T> + ?Sized),
     feed_name: &'static str,
     after: u64,
-) -> Result<WatchResult<T>, StoreError> {
+) -> (Result<WatchResult<T>, StoreError>, Timing) {
     let checked = async {
         loop {
             smol::Timer::after(CHECK_INTERVAL).await;
@@ -170,12 +187,13 @@
                         after,
                         reason: check_result(&found),
                     });
-                    return found;
+                    return (found, Timing::Late);
                 }
             }
         }
     };
-    feed.watch(after, WATCH_WAIT).or(checked).await
+    let watched = async { (feed.watch(after, WATCH_WAIT).await, Timing::Prompt) };
+    watched.or(checked).await
 }
 
 fn check_result<T>(found: &Result<WatchResult<T>, StoreError>) -> String {
@@ -196,6 +214,7 @@
     last_call_at: Option<Instant>,
     backoff: Duration,
     lost_at: Option<Instant>,
+    last_error_at: Option<Instant>,
 }
 
 impl CallPacer {
@@ -205,6 +224,15 @@
             last_call_at: None,
             backoff: BACKOFF_MIN,
             lost_at: None,
+            last_error_at: None,
+        }
+    }
+
+    /// Returns `timing`, or that a call failed recently.
+    fn timing(&self, timing: Timing) -> Timing {
+        match self.last_error_at {
+            Some(at) if at.elapsed() < DISTURBANCE => Timing::Disturbed,
+            _ => timing,
         }
     }
 
@@ -229,6 +257,7 @@
     }
 
     async fn on_error(&mut self, error: &StoreError) {
+        self.last_error_at = Some(Instant::now());
         if self.lost_at.is_none() {
             self.lost_at = Some(Instant::now());
             emit(&GatewayEvent::FeedLost {
--- a/crates/gateway/src/live.rs
+++ b/crates/gateway/src/live.rs
@@ -18,6 +18,8 @@
 /// ratios and counts have the same limit.
 const SETTING_MAX: f64 = 86_400.0;
 
+const MS_PER_S: f64 = 1_000.0;
+
 /// Contents of the settings file. Missing values keep the command-line values.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize)]
 pub struct FileSettings {
@@ -30,6 +32,8 @@
     /// Time from the stop signal until the process is killed, in seconds. The
     /// drain ends before it.
     pub grace_s: Option<f64>,
+    /// Time for which an instance that leaves takes requests, in milliseconds.
+    pub drain_ms: Option<f64>,
 }
 
 /// Reloadable settings in force.
@@ -40,6 +44,8 @@
     /// Time from the stop signal until the process is killed. The drain ends
     /// before it.
     pub grace: Duration,
+    /// Time for which an instance that leaves takes requests.
+    pub instance_drain: Duration,
 }
 
 /// Error in reading or validating the settings file.
@@ -82,6 +88,9 @@
         if let Some(grace_s) = validate("grace_s", file.grace_s)? {
             self.grace = Duration::from_secs_f64(grace_s);
         }
+        if let Some(drain_ms) = validate("drain_ms", file.drain_ms)? {
+            self.instance_drain = Duration::from_secs_f64(drain_ms / MS_PER_S);
+        }
         Ok(self)
     }
 }
--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -3,14 +3,15 @@
 
 use std::{sync::Arc, time::Duration};
 
-use policy::roster::Member;
+use futures_lite::FutureExt;
+use policy::roster::{Member, Removal};
 use telemetry::{emit, events::GatewayEvent};
 use types::InstanceId;
 
 use crate::{
     app::{lock, App},
     feed::{Feed, FeedEntry},
-    feed_watcher::{watch_feed, Update},
+    feed_watcher::{watch_feed, Timing, Update},
     routing::Routing,
 };
 
@@ -19,12 +20,17 @@
 /// Name of the instance feed in log events.
 const ROSTER_FEED: &str = "roster";
 
+/// Time by which an instance whose removal was acknowledged is given up before its
+/// drain time ends: a watch may deliver a removal late, and a request may wait for
+/// its connection.
+const SEND_MARGIN: Duration = Duration::from_millis(600);
+
 /// Longest interval between two maintenance runs.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Applies each newer configuration from the feed. Never returns.
 pub(crate) async fn sync_routing(app: Arc<App>, feed: Arc<dyn Feed<Routing>>) {
-    watch_feed(feed, ROUTING_FEED, |update| {
+    watch_feed(feed, ROUTING_FEED, |update, _| {
         let (Update::Snapshot(listing) | Update::Changes(listing)) = update;
         for entry in listing.entries {
             match entry {
@@ -65,7 +71,8 @@
 
 /// Applies each update of the instance list to the roster. Never returns.
 pub(crate) async fn sync_roster(app: Arc<App>, feed: Arc<dyn Feed<Member>>) {
-    watch_feed(feed, ROSTER_FEED, |update| {
+    watch_feed(feed, ROSTER_FEED, |update, timing| {
+        let removal = removal(&app, timing);
         let before = app.view.load().revision;
         let revision = match update {
             Update::Snapshot(listing) => {
@@ -79,33 +86,47 @@
                         }
                     }
                 }
-                lock(&app.roster).on_listing(app.now(), members);
+                lock(&app.roster).on_listing(app.now(), members, removal);
                 listing.revision
             }
             Update::Changes(listing) => {
                 for entry in listing.entries {
-                    apply_change(&app, entry);
+                    apply_change(&app, entry, removal);
                 }
                 listing.revision
             }
         };
         publish_roster_change(&app, before, revision);
+        // A full channel already wakes the maintenance.
+        let _ = app.maintenance_due.0.try_send(());
         app.on_roster_confirmed();
     })
     .await;
 }
 
+/// Returns what the removal of an entry at this time means.
+fn removal(app: &App, timing: Timing) -> Removal {
+    let drain = app.live.load().instance_drain;
+    match timing {
+        Timing::Disturbed => Removal::Lapsed,
+        Timing::Prompt => Removal::Acknowledged {
+            grace_ms: drain.saturating_sub(SEND_MARGIN).as_millis() as u64,
+        },
+        Timing::Late => Removal::Acknowledged { grace_ms: 0 },
+    }
+}
+
 /// Applies the change of one instance entry to the roster.
-fn apply_change(app: &App, entry: FeedEntry<Member>) {
+fn apply_change(app: &App, entry: FeedEntry<Member>, removal: Removal) {
     let now = app.now();
     let mut roster = lock(&app.roster);
     match entry {
         FeedEntry::Present(member) => roster.on_entry(member),
-        FeedEntry::Removed { name } => roster.on_removed(now, &InstanceId::new(name)),
+        FeedEntry::Removed { name } => roster.on_removed(now, &InstanceId::new(name), removal),
         FeedEntry::Unreadable { name, reason } => {
             log_unreadable(ROSTER_FEED, &name, reason);
             // Without a readable entry the instance must not get requests.
-            roster.on_removed(now, &InstanceId::new(name));
+            roster.on_removed(now, &InstanceId::new(name), removal);
         }
     }
 }
@@ -118,7 +139,15 @@
         publish_roster_change(&app, app.view.load().revision, 0);
         app.pool.close_expired();
         let wait = wait.map_or(MAINTENANCE_INTERVAL, Duration::from_millis);
-        smol::Timer::after(wait.clamp(Duration::from_millis(20), MAINTENANCE_INTERVAL)).await;
+        let wait = wait.clamp(Duration::from_millis(20), MAINTENANCE_INTERVAL);
+        let timer = async {
+            smol::Timer::after(wait).await;
+        };
+        let due = async {
+            // The channel is never closed.
+            let _ = app.maintenance_due.1.recv().await;
+        };
+        timer.or(due).await;
     }
 }
 
--- a/crates/limpetgw/src/cli/gateway.rs
+++ b/crates/limpetgw/src/cli/gateway.rs
@@ -49,12 +49,15 @@
     /// before it.
     #[arg(long, env = "LIMPETGW_GRACE_S", default_value_t = 8.0, value_parser = parse_non_negative)]
     grace_s: f64,
+    /// Time for which an instance that leaves takes requests, in milliseconds.
+    #[arg(long, env = "LIMPETGW_INSTANCE_DRAIN_MS", default_value_t = 2_000, value_parser = clap::value_parser!(u64).range(0..=86_400))]
+    instance_drain_ms: u64,
     /// Time for which the balancer may still open connections after /readyz has
     /// started to report not ready, in milliseconds.
     #[arg(long, env = "LIMPETGW_BALANCER_LAG_MS", default_value_t = 2_500, value_parser = clap::value_parser!(u64).range(0..=600_000))]
     balancer_lag_ms: u64,
-    /// JSON file with `retry_ratio`, `retry_allowance`, `retry_window_s` and
-    /// `grace_s`, whose values override the flags. It is reloaded on SIGHUP and
+    /// JSON file with `retry_ratio`, `retry_allowance`, `retry_window_s`,
+    /// `grace_s` and `drain_ms`, whose values override the flags. It is reloaded on SIGHUP and
     /// every two seconds.
     #[arg(long, env = "LIMPETGW_CONFIG")]
     settings_file: Option<PathBuf>,
@@ -85,6 +88,7 @@
                     window_ms: (self.retry_window_s * MS_PER_S) as u64,
                 },
                 grace: Duration::from_secs_f64(self.grace_s),
+                instance_drain: Duration::from_millis(self.instance_drain_ms),
             })
             .maybe_file(self.settings_file.clone())
             .balancer_lag(Duration::from_millis(self.balancer_lag_ms))
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -4,7 +4,9 @@
 //! the platform is unavailable, although the instances keep running. After the
 //! platform recovers, most entries are missing for about two seconds. Removing
 //! them immediately would refuse every caller; keeping every missing entry
-//! would route requests to instances that have left.
+//! would route requests to instances that have left. An entry that a working
+//! platform removes is different: its instance has left, and takes requests for
+//! its drain time only.
 
 use std::sync::Arc;
 
@@ -33,12 +35,36 @@
     pub leaving: bool,
 }
 
+/// Why an entry is missing from the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Removal {
+    /// The platform is or was unavailable, so that the entry may have expired
+    /// although the instance keeps running.
+    Lapsed,
+    /// The platform has removed the entry while it was available.
+    Acknowledged {
+        /// Time for which the instance may still be sent requests, in
+        /// milliseconds.
+        grace_ms: u64,
+    },
+}
+
+impl Removal {
+    fn grace_ms(self) -> u64 {
+        match self {
+            Self::Lapsed => Roster::MISSING_GRACE_MS,
+            Self::Acknowledged { grace_ms } => grace_ms.min(Roster::MISSING_GRACE_MS),
+        }
+    }
+}
+
 /// A member and the state of its entry in the list.
 #[derive(Debug)]
 struct TrackedMember {
     member: Member,
-    /// Time at which the entry disappeared from the list; `None` while listed.
-    missing_since: Option<TimeMs>,
+    /// Time until which the instance may be used without an entry; `None` while
+    /// listed.
+    missing_until: Option<TimeMs>,
 }
 
 /// The instances tracked by one process.
@@ -48,7 +74,7 @@
 /// - An incarnation that has announced that it is leaving never becomes usable
 ///   again, even if older reports arrive later.
 /// - An instance whose entry is missing is usable only while most entries of
-///   its upstream are missing, and for at most [`Roster::MISSING_GRACE_MS`].
+///   its upstream are missing, and for at most the grace of its [`Removal`].
 #[derive(Debug, Default)]
 pub struct Roster {
     tracked: IndexMap<InstanceId, TrackedMember>,
@@ -56,12 +82,12 @@
 }
 
 impl Roster {
-    /// Time for which a missing entry is kept, in milliseconds. The platform
-    /// specifies that entries return about two seconds after an outage.
+    /// Time for which an entry that may have expired is kept, in milliseconds. The
+    /// platform specifies that entries return about two seconds after an outage.
     pub const MISSING_GRACE_MS: u64 = 2_500;
 
     /// Applies a complete list. Tracked instances that it lacks become missing.
-    pub fn on_listing(&mut self, now: TimeMs, members: Vec<Member>) {
+    pub fn on_listing(&mut self, now: TimeMs, members: Vec<Member>, removal: Removal) {
         let listed: Vec<InstanceId> = members
             .iter()
             .map(|member| member.instance.clone())
@@ -76,7 +102,7 @@
             .cloned()
             .collect();
         for instance in missing {
-            self.on_removed(now, &instance);
+            self.on_removed(now, &instance, removal);
         }
     }
 
@@ -96,51 +122,51 @@
         let instance = member.instance.clone();
         let tracked = TrackedMember {
             member,
-            missing_since: None,
+            missing_until: None,
         };
         let previous = self.tracked.insert(instance.clone(), tracked);
         let tracked = &self.tracked[&instance];
         let unchanged = previous.is_some_and(|previous| {
             let mut previous_member = previous.member;
             previous_member.sequence = tracked.member.sequence;
-            previous.missing_since.is_none() && previous_member == tracked.member
+            previous.missing_until.is_none() && previous_member == tracked.member
         });
         if !unchanged {
             self.revision += 1;
         }
     }
 
-    /// Marks the instance as missing since `now`, after its entry was removed.
-    pub fn on_removed(&mut self, now: TimeMs, instance: &InstanceId) {
+    /// Marks the instance as missing, after its entry was removed. A later reason
+    /// can only shorten the time for which it is used.
+    pub fn on_removed(&mut self, now: TimeMs, instance: &InstanceId, removal: Removal) {
         let Some(tracked) = self.tracked.get_mut(instance) else {
             return;
         };
-        if tracked.missing_since.is_none() {
-            tracked.missing_since = Some(now);
-            self.revision += 1;
+        let until = now + removal.grace_ms();
+        match tracked.missing_until {
+            None => self.revision += 1,
+            Some(previous) if previous <= until => return,
+            Some(_) => {}
         }
+        tracked.missing_until = Some(until);
+        self.expire(now);
     }
 
-    /// Removes instances that have been missing for
-    /// [`Roster::MISSING_GRACE_MS`]. Returns the time until the next one
-    /// expires, in milliseconds, if any entry is missing.
+    /// Removes instances that have been missing for the grace of their
+    /// [`Removal`]. Returns the time until the next one expires, in milliseconds,
+    /// if any entry is missing.
     pub fn expire(&mut self, now: TimeMs) -> Option<u64> {
         let len_before = self.tracked.len();
-        self.tracked.retain(|_, tracked| {
-            tracked
-                .missing_since
-                .is_none_or(|since| now.since(since) < Self::MISSING_GRACE_MS)
-        });
+        self.tracked
+            .retain(|_, tracked| tracked.missing_until.is_none_or(|until| now < until));
         if self.tracked.len() != len_before {
             self.revision += 1;
         }
         let missing = self
             .tracked
             .values()
-            .filter_map(|tracked| tracked.missing_since);
-        missing
-            .map(|since| Self::MISSING_GRACE_MS - now.since(since).min(Self::MISSING_GRACE_MS))
-            .min()
+            .filter_map(|tracked| tracked.missing_until);
+        missing.map(|until| until.since(now)).min()
     }
 
     /// Counter that increases when the set of usable instances, or their data,
@@ -176,7 +202,7 @@
         by_upstream
             .into_iter()
             .map(|(upstream, all)| {
-                let listed = all.iter().filter(|tracked| tracked.missing_since.is_none());
+                let listed = all.iter().filter(|tracked| tracked.missing_until.is_none());
                 let most_missing = listed.clone().count() * 2 < all.len();
                 let members = match most_missing {
                     true => all.iter().map(|tracked| tracked.member.clone()).collect(),
--- a/crates/policy/tests/roster.rs
+++ b/crates/policy/tests/roster.rs
@@ -1,7 +1,7 @@
 //! Tests of the roster with a delayed or incomplete list of instances.
 #![allow(missing_docs)]
 
-use policy::roster::{Member, Roster};
+use policy::roster::{Member, Removal, Roster};
 use rstest::rstest;
 use types::{InstanceId, TimeMs};
 
@@ -20,7 +20,11 @@
 
 fn roster(members: u32) -> Roster {
     let mut roster = Roster::default();
-    roster.on_listing(TimeMs(0), (0..members).map(member).collect());
+    roster.on_listing(
+        TimeMs(0),
+        (0..members).map(member).collect(),
+        Removal::Lapsed,
+    );
     roster
 }
 
@@ -33,7 +37,7 @@
 #[test]
 fn instances_stay_usable_for_grace_period_when_all_entries_expire() {
     let mut roster = roster(6);
-    roster.on_listing(TimeMs(1_000), Vec::new());
+    roster.on_listing(TimeMs(1_000), Vec::new(), Removal::Lapsed);
 
     roster.expire(TimeMs(1_000 + Roster::MISSING_GRACE_MS - 1));
     assert_eq!(usable_count(&roster), 6);
@@ -46,7 +50,7 @@
 #[test]
 fn missing_instances_stay_usable_until_most_entries_return() {
     let mut roster = roster(6);
-    roster.on_listing(TimeMs(1_000), Vec::new());
+    roster.on_listing(TimeMs(1_000), Vec::new(), Removal::Lapsed);
 
     roster.on_entry(member(0));
     assert_eq!(usable_count(&roster), 6);
@@ -61,7 +65,7 @@
 fn single_missing_instance_is_not_usable() {
     let mut roster = roster(6);
 
-    roster.on_removed(TimeMs(10), &"i-3".into());
+    roster.on_removed(TimeMs(10), &"i-3".into(), Removal::Lapsed);
 
     assert_eq!(usable_count(&roster), 5);
 }
@@ -102,7 +106,7 @@
 
     roster.on_entry(heartbeat);
     assert_eq!(roster.revision(), before);
-    roster.on_removed(TimeMs(5), &"i-1".into());
+    roster.on_removed(TimeMs(5), &"i-1".into(), Removal::Lapsed);
     assert!(roster.revision() > before);
 }
 
@@ -112,7 +116,7 @@
 fn sole_instance_of_upstream_stays_usable_for_grace_period() {
     let mut roster = roster(1);
 
-    roster.on_removed(TimeMs(10), &"i-0".into());
+    roster.on_removed(TimeMs(10), &"i-0".into(), Removal::Lapsed);
     assert_eq!(usable_count(&roster), 1);
     assert_eq!(
         roster.expire(TimeMs(20)),
@@ -122,3 +126,80 @@
 
     assert_eq!(usable_count(&roster), 0);
 }
+
+/// Guards against DRAIN in the users' review (case 3): where most entries of an
+/// upstream were removed by a working platform, the instances were used for 2.5 s
+/// more, as after an outage.
+#[rstest]
+#[case::most(4)]
+#[case::all(6)]
+fn instances_removed_by_working_platform_are_used_for_their_drain_time_only(#[case] removed: u32) {
+    const GRACE_MS: u64 = 1_400;
+    let removal = Removal::Acknowledged { grace_ms: GRACE_MS };
+    let mut roster = roster(6);
+
+    for number in 0..removed {
+        roster.on_removed(TimeMs(100), &format!("i-{number}").into(), removal);
+    }
+    roster.expire(TimeMs(100 + GRACE_MS - 1));
+    let during_grace = usable_count(&roster);
+    roster.expire(TimeMs(100 + GRACE_MS));
+
+    assert_eq!(during_grace, 6);
+    assert_eq!(usable_count(&roster), 6 - removed as usize);
+}
+
+/// How often and why the entries of an upstream go missing.
+#[rstest]
+#[case::removed_during_outage(&[Removal::Lapsed], Roster::MISSING_GRACE_MS)]
+#[case::removed_at_an_unknown_time(&[Removal::Acknowledged { grace_ms: 0 }], 0)]
+#[case::lapsed_then_removed(
+    &[Removal::Lapsed, Removal::Acknowledged { grace_ms: 300 }],
+    300
+)]
+#[case::removed_then_lapsed(
+    &[Removal::Acknowledged { grace_ms: 300 }, Removal::Lapsed],
+    300
+)]
+fn missing_instance_is_used_for_the_shortest_grace(
+    #[case] removals: &[Removal],
+    #[case] grace_ms: u64,
+) {
+    let mut roster = roster(1);
+
+    for removal in removals {
+        roster.on_removed(TimeMs(10), &"i-0".into(), *removal);
+    }
+    let is_used_at = |roster: &mut Roster, after_ms: u64| {
+        roster.expire(TimeMs(10 + after_ms));
+        usable_count(roster) == 1
+    };
+
+    assert!(grace_ms == 0 || is_used_at(&mut roster, grace_ms - 1));
+    assert!(!is_used_at(&mut roster, grace_ms));
+}
+
+/// An instance that returns is listed again, under the same or another address.
+#[rstest]
+#[case::same_address(1, "10.0.0.0:80")]
+#[case::restarted_elsewhere(2, "10.0.0.99:80")]
+fn removed_instance_is_usable_once_it_is_listed_again(
+    #[case] incarnation: u64,
+    #[case] addr: &str,
+) {
+    let mut roster = roster(1);
+    roster.on_removed(
+        TimeMs(10),
+        &"i-0".into(),
+        Removal::Acknowledged { grace_ms: 50 },
+    );
+
+    let mut back = member(0);
+    back.incarnation = incarnation;
+    back.addr = addr.into();
+    roster.on_entry(back);
+    roster.expire(TimeMs(10_000));
+
+    let usable = roster.usable();
+    assert_eq!(usable["plans"][0].addr.as_ref(), addr);
+}
