Relay no instance's headers with another status

Cause: the HTTP library has no value for statuses beyond the registry; the failed conversion became 502 (gateway) or 200 (entry, plain services) with the headers kept. Streams were answered with 200 for any 2xx.

Change: such a response becomes a failure of our own without the instance's headers; streams keep the status of their instance.

--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -8,7 +8,7 @@
 use rpc::Target;
 use telemetry::{emit, events::EntryEvent};
 use trillium::{Conn, Method, Status};
-use types::{ErrorCode, Fingerprint, RequestId};
+use types::{ErrorCode, Fingerprint, RequestId, Verdict};
 
 use crate::{
     app::App,
@@ -229,7 +229,14 @@
 
 /// Answers the caller with the complete response of an upstream.
 pub(crate) fn respond(conn: Conn, request_id: &RequestId, response: UpstreamResponse) -> Conn {
-    let status = Status::try_from(response.status).unwrap_or(Status::Ok);
+    let Ok(status) = Status::try_from(response.status) else {
+        let message = format!(
+            "the upstream responded {}, which is not a registered status",
+            response.status
+        );
+        let failure = Failure::new(ErrorCode::UpstreamFailed, Verdict::Ran, message);
+        return failure.respond(conn, request_id);
+    };
     let mut conn = conn
         .with_status(status)
         .with_response_header(REQUEST_ID_HEADER, request_id.as_str().to_owned())
--- a/crates/gateway/src/attempt/session.rs
+++ b/crates/gateway/src/attempt/session.rs
@@ -47,6 +47,8 @@
     Buffered(BufferedResponse),
     /// A stream whose first event has arrived.
     Stream {
+        /// Status of the attempt that opened the stream, 200 to 299.
+        status: u16,
         /// Response headers of the attempt that opened the stream.
         headers: HeaderMap,
         /// The opened stream, from which the body is relayed.
@@ -112,6 +114,7 @@
                 Ok(Outcome::Buffered(response))
             }
             Received::Streaming(exchange, events) => Ok(Outcome::Stream {
+                status: exchange.response.status,
                 headers: exchange.response.headers.clone(),
                 opened: Box::new(OpenedStream {
                     session: self,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -82,9 +82,13 @@
     let session = Session::new(app.clone(), request);
     match conn.cancel_on_disconnect(session.run()).await {
         Some(Ok(Outcome::Buffered(response))) => {
+            let Ok(status) = Status::try_from(response.status) else {
+                let failure = unknown_status(response.status);
+                return reject(&app, conn, Some(&request_id), &failure, received_at);
+            };
             let conn = with_close_if_draining(&app, conn);
             with_headers(conn, &response.headers)
-                .with_status(Status::try_from(response.status).unwrap_or(Status::BadGateway))
+                .with_status(status)
                 .with_body(response.body)
                 .halt()
         }
@@ -93,12 +97,17 @@
         // truncated stream would look complete. The shutdown closes the
         // connection once it is idle.
         Some(Ok(Outcome::Stream {
+            status,
             headers,
             mut opened,
         })) => {
+            let Ok(status) = Status::try_from(status) else {
+                let failure = unknown_status(status);
+                return reject(&app, conn, Some(&request_id), &failure, received_at);
+            };
             opened.session.record_first_event();
             with_headers(conn, &headers)
-                .with_status(Status::Ok)
+                .with_status(status)
                 .with_body(Body::new_streaming(StreamBody::new(*opened), None))
                 .halt()
         }
@@ -115,6 +124,13 @@
     }
 }
 
+/// Returns the failure for a response whose status the HTTP library can't send. The
+/// headers of the instance would belong to a response with another status.
+fn unknown_status(status: u16) -> Failure {
+    let reason = format!("the instance responded {status}, which is not a registered status");
+    Failure::may_have_run(ErrorCode::UpstreamFailed, reason)
+}
+
 /// Routes, authenticates and reads a request. Returns the error response for
 /// the caller if a check fails.
 async fn admit(
