Heed what instances announce in their responses

DRAIN: an instance that leaves sends 'Server-Leaving: 1' in all answers; nothing sent later than drain-ms after the first such answer may reach it, in touch or not. BUDGET: an instance may add 'Retry-After' to a 503; at most two requests of this machine may reach it from half a second on until that time ends.

Cause: neither header was read; leaving was known from the platform's list only.

Change: policy::announcement keeps both for one start of an instance, on the monotonic clock and apart from the roster, so that list, lapses and outages don't change it. An instance that leaves is used only if no other takes the request, and for its drain time less 0.6 s; one that wants a pause gets nothing. Checked before placing and again after a connection was taken, by all attempts. Requests wait for the end of a pause within their latency target; others get 503 'not run' with that end as Retry-After. Events InstanceLeaving, InstancePaused (5033, 5034).

The event RequestsEnded (5032) is moved to its place: the test of ascending numbers was red since it was added.

--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -13,6 +13,7 @@
 use indexmap::{IndexMap, IndexSet};
 use net::Lifecycle;
 use policy::{
+    announcement::Announcements,
     crash_evidence::{CrashLog, InstanceEnd, Suspect},
     named_limit::NamedLimits,
     placement::{Capacity, InstanceSpec, Placer},
@@ -49,10 +50,16 @@
     pub(crate) revision: u64,
     pub(crate) usable: usize,
     addrs: IndexMap<InstanceId, Arc<str>>,
+    upstreams: IndexMap<InstanceId, UpstreamName>,
     incarnations: IndexMap<InstanceId, u64>,
 }
 
 impl RosterView {
+    /// Returns whether the snapshot contains an instance of an upstream.
+    pub(crate) fn serves(&self, instance: &InstanceId, upstream: &UpstreamName) -> bool {
+        self.upstreams.get(instance) == Some(upstream)
+    }
+
     /// Returns the address of an instance, or `None` if the snapshot does not
     /// contain it.
     pub(crate) fn addr(&self, instance: &InstanceId) -> Option<&Arc<str>> {
@@ -79,6 +86,7 @@
     pub(crate) lifecycle: Lifecycle,
     pub(crate) crash_log: Mutex<CrashLog>,
     pub(crate) named_limits: Mutex<NamedLimits>,
+    pub(crate) announcements: Mutex<Announcements>,
     /// Instances that may have ended, with the suspects of the requests whose
     /// connections broke there.
     pub(crate) unconfirmed_ends: Mutex<IndexMap<InstanceEnd, Vec<Suspect>>>,
@@ -117,6 +125,7 @@
             lifecycle: Lifecycle::default(),
             crash_log: Mutex::default(),
             named_limits: Mutex::default(),
+            announcements: Mutex::default(),
             unconfirmed_ends: Mutex::default(),
             peers: PeerExchange::default(),
             peer_directory,
@@ -260,6 +269,8 @@
                 let incarnation = member.incarnation;
                 view.incarnations
                     .insert(member.instance.clone(), incarnation);
+                view.upstreams
+                    .insert(member.instance.clone(), member.upstream);
                 view.addrs.insert(member.instance, member.addr);
             }
         }
--- a/crates/gateway/src/attempt/receive.rs
+++ b/crates/gateway/src/attempt/receive.rs
@@ -136,9 +136,11 @@
                 .app
                 .header_codec
                 .decode_response(response.status, &response.headers);
+            let start = (&instance, self.incarnation);
+            self.app
+                .on_announced(&self.request.request_id, start, &meta);
             // Only an answer of the instance itself shows that it names no limit.
             if !meta.misdirected && (meta.limit_milli_per_s.is_some() || meta.signed) {
-                let start = (&instance, self.incarnation);
                 let request_id = &self.request.request_id;
                 self.app
                     .on_limit(request_id, sent_at, start, meta.limit_milli_per_s);
--- a/crates/gateway/src/attempt/session.rs
+++ b/crates/gateway/src/attempt/session.rs
@@ -8,7 +8,7 @@
     placement::{Placement, Urgency},
 };
 use rand::RngExt;
-use types::{ErrorCode, InstanceId, Verdict};
+use types::{ErrorCode, InstanceId, TimeMs, Verdict};
 
 use super::{
     exchange::{Exchange, LoadGuard},
@@ -228,6 +228,7 @@
     /// fails.
     async fn connect(&mut self) -> Result<(Placement, LoadGuard, Connection, Lease), Failure> {
         let mut reason = String::from("no usable instance of the upstream");
+        let mut reopens_in_ms = None;
         for _ in 0..CONNECTS_MAX {
             if self.remaining() < ATTEMPT_TIME_MIN {
                 return Err(self.deadline_failure("the remaining time is too short for an attempt"));
@@ -235,15 +236,30 @@
             let now = self.app.now();
             let view = self.app.view.load_full();
             let upstream = self.request.upstream.clone();
+            let unavailable = self.app.unavailable_instances(&upstream);
             let mut excluded = self.app.instances_at_limit();
             excluded.extend_from_slice(&self.excluded);
+            excluded.extend(unavailable.closed);
             let placed = self.app.with_placer(&upstream, |placer| {
-                let placement = placer.choose(now, &self.request.demand, &excluded)?;
+                let demand = &self.request.demand;
+                let usable_otherwise = excluded.len();
+                excluded.extend(unavailable.last_resort);
+                let placement = placer.choose(now, demand, &excluded).or_else(|| {
+                    excluded.truncate(usable_otherwise);
+                    placer.choose(now, demand, &excluded)
+                })?;
                 let before = placer.lane_split();
                 let ticket = placer.on_sent(now, &self.request.demand, &placement);
                 Some((placement, ticket, before, placer.lane_split()))
             });
             let Some((placement, ticket, before, after)) = placed else {
+                match unavailable.reopens_at {
+                    Some(at) if self.may_wait_until(at) => {
+                        smol::Timer::after(Duration::from_millis(at.since(now))).await;
+                        continue;
+                    }
+                    reopens_at => reopens_in_ms = reopens_at.map(|at| at.since(now)),
+                }
                 break;
             };
             if before.short_instances != after.short_instances {
@@ -260,6 +276,11 @@
             self.incarnation = view.incarnation(&instance).unwrap_or_default();
             let max = self.connections_max();
             match self.app.pool.take(addr, max).await {
+                // The instance may have announced something meanwhile.
+                Ok((connection, lease)) if !self.app.is_available(&instance, self.incarnation) => {
+                    self.app.pool.put(lease, connection);
+                    self.excluded.push(instance);
+                }
                 Ok((connection, lease)) => return Ok((placement, load_guard, connection, lease)),
                 Err(error) => {
                     reason = error.to_string();
@@ -276,13 +297,21 @@
                 }
             }
         }
-        let retry_ms = rand::rng().random_range(NO_CAPACITY_RETRY_MS);
+        let jitter_ms = rand::rng().random_range(NO_CAPACITY_RETRY_MS);
+        let retry_ms = reopens_in_ms.unwrap_or_default() + jitter_ms;
         Err(match self.may_have_run {
             true => Failure::may_have_run(ErrorCode::UpstreamFailed, reason),
             false => Failure::not_run(ErrorCode::NoUpstream, reason).retry_after(retry_ms),
         })
     }
 
+    /// Returns whether the request can wait until `at` and still meet its latency
+    /// target.
+    fn may_wait_until(&self, at: TimeMs) -> bool {
+        let target_ms = self.request.route.latency_target.as_millis() as u64;
+        at < self.request.received_at + target_ms && at < self.request.deadline
+    }
+
     /// Returns the number of connections to one instance that this process may
     /// use.
     fn connections_max(&self) -> usize {
--- a/crates/gateway/src/header_codec.rs
+++ b/crates/gateway/src/header_codec.rs
@@ -61,6 +61,11 @@
     /// Requests that the instance takes from all gateways together, in thousandths
     /// of a request per second; `None` if it names no limit.
     pub limit_milli_per_s: Option<u64>,
+    /// Whether the instance announces that it leaves.
+    pub leaving: bool,
+    /// Time for which the instance wants no more requests from this process, in
+    /// milliseconds; `None` if it does not ask for a pause.
+    pub pause_ms: Option<u64>,
     /// Whether the body has a content encoding, which the gateway does not
     /// request and cannot relay.
     pub encoded: bool,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! place, send, relay. Header names and object formats of the platform are
 //! confined to its adapter, which implements [`HeaderCodec`] and [`Feed`].
 
+mod announcements;
 mod app;
 mod attempt;
 mod crash_evidence;
--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -20,10 +20,9 @@
 /// Name of the instance feed in log events.
 const ROSTER_FEED: &str = "roster";
 
-/// Time by which an instance whose removal was acknowledged is given up before its
-/// drain time ends: a watch may deliver a removal late, and a request may wait for
-/// its connection.
-const SEND_MARGIN: Duration = Duration::from_millis(600);
+/// Time by which an instance that leaves is given up before its drain time ends: a
+/// watch may deliver a removal late, and a request may wait for its connection.
+pub(crate) const SEND_MARGIN: Duration = Duration::from_millis(600);
 
 /// Longest interval between two maintenance runs.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 //! decisions and a recorded log can be replayed.
 
 pub mod admission;
+pub mod announcement;
 pub mod choice;
 pub mod crash_evidence;
 pub mod named_limit;
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -286,13 +286,6 @@
             reason: String,
         } = "The report for other gateways could not be written; it is retried.",
             "Check the connection to the platform's store.";
-        5032 Warn RequestsEnded {
-            /// Id of this process.
-            instance: InstanceId,
-            /// Requests in flight.
-            in_flight: u32,
-        } = "The grace period of a stop is nearly over: requests without a response get an error that says whether they may have run, and streams are cut.",
-            "Find the instances that did not respond by `RequestTurnedAway` and `AnswerCut`; raise the grace period if they were at work.";
         5030 Info InstanceLimitNamed {
             /// Request id whose response named the limit.
             request_id: RequestId,
@@ -308,5 +301,30 @@
             /// Id of the instance.
             instance: InstanceId,
         } = "An instance that had named a limit names none any more.", "Nothing.";
+        5032 Warn RequestsEnded {
+            /// Id of this process.
+            instance: InstanceId,
+            /// Requests in flight.
+            in_flight: u32,
+        } = "The grace period of a stop is nearly over: requests without a response get an error that says whether they may have run, and streams are cut.",
+            "Find the instances that did not respond by `RequestTurnedAway` and `AnswerCut`; raise the grace period if they were at work.";
+        5033 Info InstanceLeaving {
+            /// Request id whose response announced it.
+            request_id: RequestId,
+            /// Id of the instance.
+            instance: InstanceId,
+            /// Time for which it is used where no other instance takes a request, in
+            /// milliseconds.
+            grace_ms: u64,
+        } = "An instance announced in a response that it leaves; requests go to other instances.", "Nothing.";
+        5034 Info InstancePaused {
+            /// Request id whose response announced it.
+            request_id: RequestId,
+            /// Id of the instance.
+            instance: InstanceId,
+            /// Time for which it wants no requests, in milliseconds.
+            pause_ms: u64,
+        } = "An instance turned a request away and wants no more for a time; it gets none.",
+            "Investigate the instance if it happens often: it is short of resources.";
     }
 }
