Soak: leaving instances, pauses, long bodies and lost answers around a stop

Cause: the soak drew neither of the new announcements, no body longer than a head beside changing keys, and took every instance fault as an excuse for a cut answer, with a grace period that no request outlived.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -38,6 +38,9 @@
 /// response is recorded instead of counted as missing.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(DEADLINE_MS + 2_000);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Line of a long body, which quotes a request.
+const LONG_BODY_LINE: &str = "POST /cut/quoted HTTP/1.1\r\nHost: a\r\n\r\n";
+const LONG_BODY_LINES: usize = 1_600;
 /// Pause between two requests of a caller.
 const REQUEST_GAP_MS: std::ops::Range<u64> = 5..60;
 /// Requests after which a caller switches to another gateway.
@@ -165,10 +168,13 @@
         let id = format!("{:04x}{sent:08x}", self.number);
         let (kind, request) = match self.rng.random_range(0..10) {
             0..=2 => (Kind::Safe, get(&format!("/look/{id}"), &id)),
-            3..=5 => (Kind::Unsafe, post(&format!("/cut/{id}"), &id, "one last")),
+            3..=5 => (
+                Kind::Unsafe,
+                post(&format!("/cut/{id}"), &id, &self.generate_body()),
+            ),
             6 => (Kind::Changing, get(&format!("/changing/{id}"), &id)),
             7 => {
-                let request = get(&format!("/look/{id}"), &id);
+                let request = post(&format!("/look/{id}"), &id, &self.generate_body());
                 (Kind::OtherKey, request.with_key(OTHER_KEY))
             }
             _ => (Kind::Stream, self.stream_request(&id)),
@@ -176,6 +182,14 @@
         (kind, request.with_deadline_ms(DEADLINE_MS))
     }
 
+    /// Builds a body; one in four is longer than any request head.
+    fn generate_body(&mut self) -> String {
+        match self.rng.random_range(0..4) {
+            0 => LONG_BODY_LINE.repeat(LONG_BODY_LINES),
+            _ => "one last".into(),
+        }
+    }
+
     /// Builds a stream request; a short and a long prompt are equally likely.
     fn stream_request(&mut self, id: &str) -> Request {
         let target = format!("/stream/{id}");
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -11,7 +11,7 @@
 use serde::Serialize;
 use wire_standins::{
     engine::event_text,
-    instance::{response_body, stream_event_count},
+    instance::{response_body, stream_event_count, PAUSE_MS},
 };
 
 use crate::{
@@ -28,6 +28,11 @@
 /// Time after the start of a drain within which the instance may still get
 /// requests.
 const DRAIN_APPLY_MS: u64 = 2_000;
+/// Time after a response that asks for a pause within which requests may still
+/// arrive.
+const PAUSE_APPLY_MS: u64 = 500;
+/// Requests of one gateway that may arrive during a pause.
+const LATE_MAX: usize = 2;
 /// Time after the deadline of a request within which its caller must get a final
 /// response.
 const DEADLINE_SLACK_MS: u64 = 500;
@@ -67,6 +72,9 @@
     TrueRefusal,
     /// A draining instance gets no new requests.
     Drained,
+    /// An instance that announces in a response that it leaves or wants a pause gets
+    /// no more requests from the gateway that passed it on.
+    Heeded,
     /// A configuration is in force in time and is not lost afterwards.
     Configured,
     /// Retries stay within the retry budget.
@@ -146,6 +154,7 @@
         check_drained(&mut results, record, request, events);
     }
     check_cancelled(&mut results, record, &by_id);
+    check_heeded(&mut results, record);
     check_retry_budget(&mut results, record);
     check_recovered(&mut results, record);
     check_resource_usage(&mut results, record);
@@ -236,6 +245,12 @@
         Kind::Safe | Kind::Unsafe | Kind::Stream => true,
     };
     let denied = matches!(request.status, 401 | 404);
+    // Every request is proper, so the gateway has no other reason to deny one.
+    let is_unfounded = (300..500).contains(&request.status)
+        && !matches!(request.status, 401 | 404 | 408 | 421 | 429);
+    results.record_check(Guarantee::Configured, !is_unfounded, &request.id, || {
+        format!("status {} for a proper request", request.status)
+    });
     let always_allowed = record.configured.iter().all(allows);
     if always_allowed {
         results.record_check(Guarantee::Configured, !denied, &request.id, || {
@@ -288,6 +303,7 @@
     });
     let is_disturbed = record.happened.iter().any(|injected| {
         !injected.fault.is_planned()
+            && !leaves_requests_waiting(injected.fault)
             && injected.from_ms <= to_ms
             && injected.to_ms + FAULT_SETTLE_MS >= from_ms
     });
@@ -305,6 +321,49 @@
     });
 }
 
+/// Returns whether a fault only keeps instances from responding. A gateway that
+/// stops still has to tell callers whether their requests may have run.
+fn leaves_requests_waiting(fault: Fault) -> bool {
+    matches!(
+        fault,
+        Fault::FaultyInstance(_, "loses-answers" | "hangs" | "wants-pause" | "full")
+    )
+}
+
+/// Checks that no gateway sends requests to an instance that has asked it not to.
+fn check_heeded(results: &mut CheckResults, record: &Record) {
+    let gateways: IndexMap<&str, usize> = record
+        .asked
+        .iter()
+        .map(|request| (request.id.as_str(), request.gateway))
+        .collect();
+    let mut arrivals: IndexMap<(&str, usize), Vec<&InstanceEvent>> = IndexMap::new();
+    for event in &record.seen {
+        let is_arrival = matches!(event.what.as_str(), "runs" | "refused" | "wants-pause");
+        if let (true, Some(gateway)) = (is_arrival, gateways.get(event.id.as_str())) {
+            let key = (event.instance.as_str(), *gateway);
+            arrivals.entry(key).or_default().push(event);
+        }
+    }
+    for ((instance, gateway), events) in &arrivals {
+        let count_in = |from_ms: u64, to_ms: u64| {
+            let late = events
+                .iter()
+                .filter(|event| (from_ms..to_ms).contains(&event.at_ms));
+            late.count()
+        };
+        for asked in events.iter().filter(|event| event.what == "wants-pause") {
+            let (from_ms, to_ms) = (asked.at_ms + PAUSE_APPLY_MS, asked.at_ms + PAUSE_MS);
+            if is_undisturbed(record, *gateway, asked.at_ms, to_ms) {
+                let late = count_in(from_ms, to_ms);
+                results.record_check(Guarantee::Heeded, late <= LATE_MAX, instance, || {
+                    format!("{late} requests of gateway {gateway} during a pause")
+                });
+            }
+        }
+    }
+}
+
 fn check_drained(
     results: &mut CheckResults,
     record: &Record,
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -26,7 +26,7 @@
 };
 
 /// Time from SIGTERM after which a process that is still running is restarted.
-const GRACE_PERIOD_MS: u64 = 8_000;
+const GRACE_PERIOD_MS: u64 = 3_000;
 /// Time that a process needs to recover, added to the recorded end of each
 /// fault.
 const RECOVERY_MARGIN_MS: u64 = 500;
@@ -137,6 +137,8 @@
                 &store_proxy.addr.to_string(),
                 "--balancer-lag-ms",
                 "300",
+                "--grace-s",
+                &(GRACE_PERIOD_MS / 1_000).to_string(),
                 "--threads",
                 "1",
             ]
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -232,6 +232,7 @@
         "truncates",
         "sends-extra",
         "full",
+        "wants-pause",
         "hangs",
         "endless-head",
         "endless-body",
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -309,3 +309,36 @@
 
     assert_eq!(violations(&record), [Guarantee::Bounded]);
 }
+
+/// BUDGET: an instance that wants a pause gets two more requests at most.
+#[rstest]
+#[case::two_late(2, true)]
+#[case::three_late(3, false)]
+fn requests_during_a_pause_are_reported(#[case] late: usize, #[case] holds: bool) {
+    let mut events = vec![instance_event("wants-pause", SENT_MS + 50)];
+    for number in 0..late as u64 {
+        events.push(instance_event("refused", SENT_MS + 700 + number));
+    }
+
+    let results = check_run(&record_with(unsafe_request(), events));
+
+    let is_reported = results
+        .broken
+        .iter()
+        .any(|violation| violation.promise == Guarantee::Heeded);
+    assert_eq!(is_reported, !holds);
+}
+
+/// DENIED: a 431 for a proper request is a response to something else.
+#[test]
+fn unfounded_client_error_is_reported() {
+    let request = refused_with_status(unsafe_request(), 431);
+
+    let results = check_run(&record_with(request, Vec::new()));
+
+    let is_reported = results
+        .broken
+        .iter()
+        .any(|violation| violation.promise == Guarantee::Configured);
+    assert!(is_reported);
+}
