--- a/crates/limpetgw/src/cli/common.rs
+++ b/crates/limpetgw/src/cli/common.rs
@@ -1,6 +1,6 @@
 //! Settings that several commands share.
 
-use std::{fs, path::PathBuf, sync::Arc};
+use std::{fs, path::PathBuf, sync::Arc, time::Duration};
 
 use async_global_executor::GlobalExecutorConfig;
 use clap::{Args, ValueEnum};
@@ -10,6 +10,9 @@
 
 use super::CliError;
 
+/// Interval at which recorded metrics are compacted.
+const METRICS_COMPACTION_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Minimum length of a peer secret.
 const SECRET_MIN_BYTES: usize = 16;
 
@@ -111,6 +114,15 @@
         // process, before anything else installs one.
         let _ = telemetry::init_log(output, format, self.log_level);
         telemetry::init_metrics();
+        async_global_executor::spawn(compact_metrics_periodically()).detach();
+    }
+}
+
+/// Bounds the memory of metrics that nobody reads. Never returns.
+async fn compact_metrics_periodically() {
+    loop {
+        smol::Timer::after(METRICS_COMPACTION_INTERVAL).await;
+        telemetry::compact_metrics();
     }
 }
 
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -11,4 +11,4 @@
 pub use events::{emit, Event, EventSpec};
 pub use log_setup::{init_log, LogFormat, LogOutput, LogSetupError};
 pub use log_writer::flush_log;
-pub use metrics_setup::{init_metrics, render_metrics};
+pub use metrics_setup::{compact_metrics, init_metrics, render_metrics};
--- a/crates/telemetry/src/metrics_setup.rs
+++ b/crates/telemetry/src/metrics_setup.rs
@@ -18,6 +18,15 @@
     });
 }
 
+/// Folds the recorded values of histograms into their summaries. Until then each
+/// value takes memory, so that a process must call this even if nobody reads its
+/// metrics.
+pub fn compact_metrics() {
+    if let Some(handle) = HANDLE.get() {
+        handle.run_upkeep();
+    }
+}
+
 /// Renders the current metrics; returns an empty string before
 /// [`init_metrics`].
 pub fn render_metrics() -> String {
