--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -196,7 +196,6 @@
             let bound = self.live.load().retry_bound;
             WindowedRetryBudget::new(bound.ratio, bound.allowance, bound.window_ms)
         });
-        budget.set_entries(self.peers.gateway_count());
         change(budget)
     }
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -2,13 +2,13 @@
 //!
 //! Each gateway writes one record of its own and watches those of all others, so
 //! that writes never conflict and a record outlives the process that wrote it. A
-//! record also shows that its gateway takes a part of what all share: one that has
-//! nothing else to tell writes it once, and withdraws it when it stops.
+//! gateway that has nothing to tell has no record: on a day without incidents the
+//! only cost is the watch.
 
 mod publish;
 mod sync;
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use policy::{crash_evidence::EndEvidence, named_limit::LimitClaim};
 use serde::{Deserialize, Serialize};
@@ -79,10 +79,6 @@
     /// Whether the record of an earlier process of the same name, if there is
     /// one, has been read. Publishing earlier would overwrite it.
     has_listed: AtomicBool,
-    /// Whether the store has another record of this gateway, or none.
-    record_differs: AtomicBool,
-    /// Number of gateways with a record, this one included; 0 before the first list.
-    gateway_count: AtomicUsize,
     /// Holds a message while the own record may differ from what is published.
     changed: (Sender<()>, Receiver<()>),
 }
@@ -91,8 +87,6 @@
     fn default() -> Self {
         Self {
             has_listed: AtomicBool::new(false),
-            record_differs: AtomicBool::new(false),
-            gateway_count: AtomicUsize::new(0),
             changed: smol::channel::bounded(1),
         }
     }
@@ -104,21 +98,6 @@
         self.has_listed.load(Ordering::Relaxed)
     }
 
-    /// Returns whether the own record has been found deleted or different since the
-    /// last call.
-    pub(crate) fn take_record_differs(&self) -> bool {
-        self.record_differs.swap(false, Ordering::Relaxed)
-    }
-
-    /// Returns the number of gateways with a record, this one included; `None`
-    /// before the records have been read.
-    pub(crate) fn gateway_count(&self) -> Option<usize> {
-        match self.gateway_count.load(Ordering::Relaxed) {
-            0 => None,
-            count => Some(count),
-        }
-    }
-
     /// Requests that the own record is published.
     pub(crate) fn notify_changed(&self) {
         // A full channel already holds the request.
--- a/crates/gateway/src/peers/publish.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -28,19 +28,14 @@
         }
         smol::Timer::after(BATCH_DELAY).await;
         let report = app.own_report();
-        let is_withdrawn = report.is_empty() && app.lifecycle.is_draining();
-        let is_published = match is_withdrawn {
-            true => published.is_none(),
-            false => published.as_ref() == Some(&report),
-        };
-        if is_published && !app.peers.take_record_differs() {
+        if report.is_empty() && published.is_none() {
             continue;
         }
         let record = PeerRecord {
             gateway: app.settings.instance.clone(),
             report,
         };
-        let written = match is_withdrawn {
+        let written = match record.report.is_empty() {
             true => directory.withdraw(&record.gateway).await,
             false => directory.publish(&record).await,
         };
@@ -51,7 +46,7 @@
                     limits: record.report.limits.len(),
                 });
                 lock(&app.named_limits).on_published(app.now(), &record.report.limits);
-                published = (!is_withdrawn).then_some(record.report);
+                published = (!record.report.is_empty()).then_some(record.report);
                 retry_delay = PUBLISH_INTERVAL;
                 smol::Timer::after(PUBLISH_INTERVAL).await;
             }
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -58,11 +58,8 @@
             let gateways = gateways(&listing);
             let has_record = |gateway: &InstanceId| gateways.contains(gateway);
             lock(&app.named_limits).retain_gateways(has_record);
-            lock(&last_changes).retain(|gateway, _| gateways.contains(gateway));
         }
         apply(&app, listing, &last_changes);
-        let others = lock(&last_changes).len();
-        app.peers.gateway_count.store(others + 1, Ordering::Relaxed);
         if is_snapshot {
             app.peers.has_listed.store(true, Ordering::Relaxed);
             app.peers.notify_changed();
@@ -113,14 +110,9 @@
                     limits.on_published(now, &record.report.limits);
                 }
                 if record.report != app.own_report() {
-                    app.peers.record_differs.store(true, Ordering::Relaxed);
                     app.peers.notify_changed();
                 }
             }
-            FeedEntry::Removed { name } if *name == *app.settings.instance.as_str() => {
-                app.peers.record_differs.store(true, Ordering::Relaxed);
-                app.peers.notify_changed();
-            }
             FeedEntry::Present(record) => {
                 app.update_crash_log(|log| log.merge(now, &record.report.ends));
                 let limits = record.report.limits;
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -105,16 +105,11 @@
 /// The budgets of all entries add up to less than the bound. Each entry applies
 /// the ratio, multiplied by [`WindowedRetryBudget::RATIO_SAFETY_FACTOR`], to
 /// its own requests only, and these add up to all requests. It gets the fixed
-/// allowance divided by the number of entries, at least by
-/// [`WindowedRetryBudget::ENTRIES_MIN`], or by
-/// [`WindowedRetryBudget::ENTRIES_UNKNOWN`] while the number is not known.
+/// allowance divided by [`WindowedRetryBudget::ENTRIES_ASSUMED`].
 #[derive(Debug)]
 pub struct WindowedRetryBudget {
     ratio: f64,
-    /// Allowance of all entries together.
     allowance: f64,
-    /// Number of entries that share the allowance; `None` if not known.
-    entries: Option<usize>,
     bucket_ms: u64,
     buckets: VecDeque<Bucket>,
 }
@@ -131,12 +126,9 @@
     /// Fraction of the ratio that is used. The margin covers requests that are
     /// counted in a different window where the bound is checked.
     pub const RATIO_SAFETY_FACTOR: f64 = 0.75;
-    /// Smallest number of entries by which the allowance is divided. Entries may
-    /// join before all others know of them.
-    pub const ENTRIES_MIN: usize = 24;
-    /// Number of entries by which the allowance is divided while their number is
-    /// not known.
-    pub const ENTRIES_UNKNOWN: usize = 300;
+    /// Number of entries that share the fixed allowance. Deployments have up to
+    /// 24 entries; larger ones configure a smaller allowance.
+    pub const ENTRIES_ASSUMED: f64 = 24.0;
     /// Number of buckets that the window is divided into.
     const BUCKETS: u64 = 20;
 
@@ -146,7 +138,6 @@
         let mut budget = Self {
             ratio: 0.0,
             allowance: 0.0,
-            entries: None,
             bucket_ms: 1,
             buckets: VecDeque::new(),
         };
@@ -158,7 +149,7 @@
     /// the window changes, which resets the counts.
     pub fn set_bound(&mut self, ratio: f64, allowance: f64, window_ms: u64) {
         self.ratio = ratio * Self::RATIO_SAFETY_FACTOR;
-        self.allowance = allowance;
+        self.allowance = allowance / Self::ENTRIES_ASSUMED;
         let bucket_ms = (window_ms / Self::BUCKETS).max(1);
         if bucket_ms != self.bucket_ms {
             self.bucket_ms = bucket_ms;
@@ -166,20 +157,6 @@
         }
     }
 
-    /// Sets the number of entries that share the allowance, this one included;
-    /// `None` if it is not known.
-    pub fn set_entries(&mut self, entries: Option<usize>) {
-        self.entries = entries;
-    }
-
-    /// Returns the part of the allowance that this entry may use.
-    fn own_allowance(&self) -> f64 {
-        let entries = self.entries.map_or(Self::ENTRIES_UNKNOWN, |entries| {
-            entries.max(Self::ENTRIES_MIN)
-        });
-        self.allowance / entries as f64
-    }
-
     /// Records the first attempt of a request, which raises the allowed retries.
     pub fn on_request(&mut self, now: TimeMs) {
         self.bucket(now).requests += 1;
@@ -190,7 +167,7 @@
         self.bucket(now);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        let allowed = self.ratio * f64::from(requests) + self.own_allowance();
+        let allowed = self.ratio * f64::from(requests) + self.allowance;
         if f64::from(retries) + 1.0 > allowed {
             return false;
         }
