--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -96,8 +96,6 @@
             }
         };
         publish_roster_change(&app, before, revision);
-        // A full channel already wakes the maintenance.
-        let _ = app.maintenance_due.0.try_send(());
         app.on_roster_confirmed();
     })
     .await;
@@ -158,6 +156,8 @@
         return;
     }
     let view = app.refresh_view();
+    // A full channel already wakes the maintenance, which expires missing entries.
+    let _ = app.maintenance_due.0.try_send(());
     emit(&GatewayEvent::RosterChanged {
         roster_revision: view.revision,
         revision,
