--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -72,8 +72,8 @@
     TrueRefusal,
     /// A draining instance gets no new requests.
     Drained,
-    /// An instance that announces in a response that it leaves or wants a pause gets
-    /// no more requests from the gateway that passed it on.
+    /// An instance that asks a gateway for a pause gets at most two more requests
+    /// from it until the pause ends.
     Heeded,
     /// A configuration is in force in time and is not lost afterwards.
     Configured,
@@ -330,7 +330,7 @@
     )
 }
 
-/// Checks that no gateway sends requests to an instance that has asked it not to.
+/// Checks that instances get the pauses that they ask for.
 fn check_heeded(results: &mut CheckResults, record: &Record) {
     let gateways: IndexMap<&str, usize> = record
         .asked
