--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -12,6 +12,7 @@
 use arc_swap::ArcSwap;
 use indexmap::{IndexMap, IndexSet};
 use net::Lifecycle;
+use peer_link::{PeerLink, UdpLink};
 use policy::{
     announcement::Announcements,
     crash_evidence::{CrashLog, InstanceEnd, Suspect},
@@ -92,6 +93,8 @@
     pub(crate) unconfirmed_ends: Mutex<IndexMap<InstanceEnd, Vec<Suspect>>>,
     pub(crate) peers: PeerExchange,
     pub(crate) peer_directory: Arc<dyn PeerDirectory>,
+    /// Link to other gateways, with its bootstrapping; `None` if not enabled.
+    pub(crate) udp_link: Option<Arc<UdpLink>>,
     /// Wakes the maintenance after a change of the roster.
     pub(crate) maintenance_due: (Sender<()>, Receiver<()>),
     placers: Mutex<IndexMap<UpstreamName, Placer>>,
@@ -112,6 +115,7 @@
         settings: Settings,
         header_codec: Arc<dyn HeaderCodec>,
         peer_directory: Arc<dyn PeerDirectory>,
+        udp_link: Option<Arc<UdpLink>>,
     ) -> Self {
         Self {
             live: ArcSwap::from_pointee(settings.live),
@@ -129,6 +133,7 @@
             unconfirmed_ends: Mutex::default(),
             peers: PeerExchange::default(),
             peer_directory,
+            udp_link,
             maintenance_due: smol::channel::bounded(1),
             placers: Mutex::default(),
             retry_budgets: Mutex::default(),
@@ -144,6 +149,12 @@
         TimeMs(self.origin.elapsed().as_millis() as u64)
     }
 
+    /// Returns the link to other gateways; `None` if it is not enabled.
+    pub(crate) fn peer_link(&self) -> Option<Arc<dyn PeerLink>> {
+        let link = self.udp_link.clone()?;
+        Some(link)
+    }
+
     /// Returns whether the readiness endpoint reports ready: the gateway has
     /// its initial state and no drain has begun.
     pub(crate) fn is_ready(&self) -> bool {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -3,13 +3,15 @@
 //! Each gateway writes one record of its own and watches those of all others, so
 //! that writes never conflict and a record outlives the process that wrote it. A
 //! gateway that has nothing to tell has no record: on a day without incidents the
-//! only cost is the watch.
+//! only cost is the watch, and with the link between gateways one write per start.
 
+mod link;
 mod publish;
 mod sync;
 
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use peer_link::PeerEndpoint;
 use policy::{crash_evidence::EndEvidence, named_limit::LimitClaim};
 use serde::{Deserialize, Serialize};
 use smol::channel::{Receiver, Sender};
@@ -18,6 +20,7 @@
 
 use crate::feed::Feed;
 
+pub(crate) use link::start_link;
 pub(crate) use publish::publish_own_record;
 pub(crate) use sync::sync_peers;
 
@@ -30,12 +33,15 @@
     /// Limits of instances that this gateway knows or wants a share of.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<LimitClaim>,
+    /// Where this run of the gateway receives frames; `None` without the link.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub endpoint: Option<PeerEndpoint>,
 }
 
 impl PeerReport {
     /// Returns whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
-        self.ends.is_empty() && self.limits.is_empty()
+        self.ends.is_empty() && self.limits.is_empty() && self.endpoint.is_none()
     }
 }
 
@@ -71,6 +77,17 @@
     ///
     /// [`StoreError`] if the store did not answer; the name may be taken then.
     fn claim<'a>(&'a self, name: &'a str) -> BoxFuture<'a, Result<bool, StoreError>>;
+
+    /// Returns the key of the link between gateways. If there is none yet, it
+    /// becomes `candidate`, which must be random.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`] if the store did not answer or holds no valid key.
+    fn link_key(
+        &self,
+        candidate: peer_link::Key,
+    ) -> BoxFuture<'_, Result<peer_link::Key, StoreError>>;
 }
 
 /// State of the exchange with other gateways.
--- a/crates/gateway/src/peers/publish.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -74,6 +74,7 @@
         PeerReport {
             ends: lock(&self.crash_log).own_evidence(),
             limits,
+            endpoint: self.udp_link.as_ref().map(|link| link.endpoint()),
         }
     }
 }
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -9,6 +9,7 @@
 };
 
 use indexmap::{IndexMap, IndexSet};
+use peer_link::PeerLink;
 use policy::crash_evidence::CrashLog;
 use telemetry::{emit, events::GatewayEvent};
 use types::{InstanceId, TimeMs};
@@ -41,6 +42,10 @@
 /// its evidence has expired everywhere by then.
 const RECORD_TTL_MS: u64 = 2 * CrashLog::EVIDENCE_TTL_MS;
 
+/// Time within which a frame shows that a gateway still runs, in milliseconds. Its
+/// record may stay unchanged as long as it runs.
+const RUNNING_WITHIN_MS: u64 = EXPIRY_INTERVAL.as_millis() as u64;
+
 /// Time at which each record of another gateway last changed.
 type LastChanges = Arc<Mutex<IndexMap<InstanceId, TimeMs>>>;
 
@@ -58,6 +63,9 @@
             let gateways = gateways(&listing);
             let has_record = |gateway: &InstanceId| gateways.contains(gateway);
             lock(&app.named_limits).retain_gateways(has_record);
+            if let Some(link) = &app.udp_link {
+                link.retain_records(has_record);
+            }
         }
         apply(&app, listing, &last_changes);
         if is_snapshot {
@@ -115,6 +123,7 @@
             }
             FeedEntry::Present(record) => {
                 app.update_crash_log(|log| log.merge(now, &record.report.ends));
+                apply_endpoint(app, &record);
                 let limits = record.report.limits;
                 lock(&app.named_limits).set_claims(&record.gateway, limits);
                 lock(last_changes).insert(record.gateway, now);
@@ -122,6 +131,13 @@
             // What the gateway told about ends stays true.
             FeedEntry::Removed { name } => {
                 let gateway = InstanceId::new(name);
+                if gateway == app.settings.instance {
+                    // Deleted by a gateway that did not hear this one.
+                    app.peers.notify_changed();
+                }
+                if let Some(link) = &app.udp_link {
+                    link.on_record_removed(&gateway);
+                }
                 lock(&app.named_limits).set_claims(&gateway, Vec::new());
                 lock(last_changes).swap_remove(&gateway);
             }
@@ -136,6 +152,16 @@
     }
 }
 
+fn apply_endpoint(app: &App, record: &PeerRecord) {
+    let Some(link) = &app.udp_link else {
+        return;
+    };
+    match &record.report.endpoint {
+        Some(endpoint) => link.on_record(&record.gateway, endpoint),
+        None => link.on_record_removed(&record.gateway),
+    }
+}
+
 /// Removes expired evidence and abandoned records periodically. Never returns.
 async fn expire(app: Arc<App>, directory: Arc<dyn PeerDirectory>, last_changes: LastChanges) {
     loop {
@@ -147,6 +173,7 @@
         let abandoned: Vec<InstanceId> = lock(&last_changes)
             .iter()
             .filter(|(_, changed_at)| now.since(**changed_at) >= RECORD_TTL_MS)
+            .filter(|(gateway, _)| !app.is_peer_heard(gateway))
             .map(|(gateway, _)| gateway.clone())
             .collect();
         for gateway in abandoned {
@@ -160,3 +187,10 @@
         }
     }
 }
+
+impl App {
+    fn is_peer_heard(&self, gateway: &InstanceId) -> bool {
+        let link = self.udp_link.as_ref();
+        link.is_some_and(|link| link.is_heard(gateway, RUNNING_WITHIN_MS))
+    }
+}
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -7,6 +7,7 @@
 };
 
 use net::ConnectionGuard;
+use peer_link::{OwnIdentity, PeerLink, UdpLink};
 use policy::roster::Member;
 use telemetry::{emit, events::GatewayEvent};
 use trillium::{Conn, Handler, HttpConfig, Status};
@@ -20,7 +21,7 @@
     guard::CallerGuardPolicy,
     header_codec::HeaderCodec,
     live,
-    peers::{publish_own_record, sync_peers, PeerDirectory},
+    peers::{publish_own_record, start_link, sync_peers, PeerDirectory},
     platform_sync,
     routing::Routing,
     serve, RunError, Settings,
@@ -95,10 +96,12 @@
 pub async fn start(settings: Settings, platform: PlatformAdapter) -> Result<Running, RunError> {
     let (callers_socket, addr) = bind(settings.listen)?;
     let (operator_socket, operator_addr) = bind(settings.operator_listen)?;
+    let udp_link = bind_link(&settings)?;
     let app = Arc::new(App::new(
         settings,
         platform.header_codec,
         platform.peers.clone(),
+        udp_link,
     ));
     live::reload(&app, false);
     emit(&GatewayEvent::GatewayListening {
@@ -113,6 +116,7 @@
     async_global_executor::spawn(platform_sync::sync_roster(app.clone(), platform.roster)).detach();
     async_global_executor::spawn(sync_peers(app.clone(), platform.peers.clone())).detach();
     async_global_executor::spawn(publish_own_record(app.clone(), platform.peers)).detach();
+    start_link(&app);
     async_global_executor::spawn(platform_sync::run_maintenance(app.clone())).detach();
     async_global_executor::spawn(live::reload_periodically(app.clone())).detach();
     let callers = spawn(callers_socket, &app, callers_handler(app.clone()));
@@ -134,6 +138,11 @@
         }
     }
 
+    /// Returns the link to other gateways; `None` if it is not enabled.
+    pub fn peer_link(&self) -> Option<Arc<dyn PeerLink>> {
+        self.app.peer_link()
+    }
+
     /// Returns the handler of SIGHUP, which reloads the settings file.
     pub(crate) fn reload_on_signal(&self) -> impl Fn() + Send + 'static {
         let app = self.app.clone();
@@ -181,6 +190,24 @@
     })
 }
 
+/// Opens the socket of the link to other gateways, if it is enabled.
+fn bind_link(settings: &Settings) -> Result<Option<Arc<UdpLink>>, RunError> {
+    let Some(addr) = settings.peer_listen else {
+        return Ok(None);
+    };
+    let identity = OwnIdentity {
+        instance: settings.instance.clone(),
+        strength: settings.strength,
+    };
+    match UdpLink::bind(identity, addr) {
+        Ok(link) => Ok(Some(link)),
+        Err(error) => Err(RunError::Listen {
+            addr: addr.to_string(),
+            reason: error.to_string(),
+        }),
+    }
+}
+
 fn spawn(socket: TcpListener, app: &Arc<App>, handler: impl Handler) -> ServerHandle {
     trillium_smol::config()
         .with_prebound_server(socket)
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -38,4 +38,10 @@
     /// Time for which the balancer may still open connections after `/readyz`
     /// has started to report not ready.
     pub balancer_lag: Duration,
+    /// Address of the link between gateways, which must be reachable from the
+    /// other gateways; `None` for no link.
+    pub peer_listen: Option<SocketAddr>,
+    /// Share of a processor core that this process has, in thousandths.
+    #[builder(default = 1_000)]
+    pub strength: u32,
 }
--- a/crates/limpetgw/src/cli/gateway.rs
+++ b/crates/limpetgw/src/cli/gateway.rs
@@ -11,6 +11,7 @@
 };
 
 const MS_PER_S: f64 = 1_000.0;
+const MILLI: f64 = 1_000.0;
 
 /// Settings of a gateway.
 #[derive(Debug, Args)]
@@ -61,6 +62,13 @@
     /// every two seconds.
     #[arg(long, env = "LIMPETGW_CONFIG")]
     settings_file: Option<PathBuf>,
+    /// Address (IP:port) of the link to other gateways, which they must be able
+    /// to reach; without it there is no link.
+    #[arg(long, env = "LIMPETGW_PEER_LISTEN")]
+    peer_listen: Option<SocketAddr>,
+    /// Share of a processor core that this process has.
+    #[arg(long, env = "LIMPETGW_CPU_SHARE", default_value_t = 1.0, value_parser = parse_non_negative)]
+    cpu_share: f64,
     #[command(flatten)]
     process: ProcessArgs,
 }
@@ -74,6 +82,13 @@
                 allowed: "an address other than --listen".into(),
             });
         }
+        if let Some(addr) = self.peer_listen.filter(|addr| addr.ip().is_unspecified()) {
+            return Err(CliError::Setting {
+                flag: "--peer-listen",
+                value: addr.to_string(),
+                allowed: "an address that other gateways can reach".into(),
+            });
+        }
         let store_addr = check_addr("--store", &self.store)?;
         let settings = gateway::Settings::builder()
             .instance(self.instance.as_str().into())
@@ -92,6 +107,8 @@
             })
             .maybe_file(self.settings_file.clone())
             .balancer_lag(Duration::from_millis(self.balancer_lag_ms))
+            .maybe_peer_listen(self.peer_listen)
+            .strength((self.cpu_share * MILLI) as u32)
             .build();
         self.process.start(telemetry::LogOutput::Stdout);
         let result = gateway::run(settings, platform::adapter(&store_addr)).await;
--- a/crates/peer-link/src/lib.rs
+++ b/crates/peer-link/src/lib.rs
@@ -4,10 +4,19 @@
 //! duplicated, reordered or old without harm, and every decision must also be
 //! possible without them.
 
+pub mod frame;
+pub mod peer_table;
+pub mod send_limit;
+mod udp_link;
+
 use std::{net::SocketAddr, sync::Arc};
 
 use types::InstanceId;
 
+pub use frame::{DropCause, Key, FRAME_MAX_BYTES};
+pub use peer_table::PEERS_MAX;
+pub use udp_link::{OwnIdentity, PeerEndpoint, UdpLink};
+
 /// What the payload of a frame contains.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[repr(u8)]
@@ -20,6 +29,14 @@
     Duty = 3,
 }
 
+impl Topic {
+    const ALL: [Self; 3] = [Self::Load, Self::Usage, Self::Duty];
+
+    fn from_number(number: u8) -> Option<Self> {
+        Self::ALL.into_iter().find(|topic| *topic as u8 == number)
+    }
+}
+
 /// One run of another gateway.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
@@ -54,6 +71,14 @@
 
     /// Registers the receiver of a topic, which replaces an earlier one.
     fn subscribe(&self, topic: Topic, subscriber: Arc<dyn Subscriber>);
+
+    /// Returns the shortest interval, in milliseconds, at which one payload can
+    /// be broadcast without exceeding the send limit. It grows with the number
+    /// of peers. Broadcasts of [`Topic::Load`] beyond the limit are dropped;
+    /// those of other topics are sent and delay the next ones.
+    fn broadcast_interval_ms(&self) -> u64 {
+        0
+    }
 }
 
 /// Receives the frames of one topic.
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -326,5 +326,28 @@
             pause_ms: u64,
         } = "An instance turned a request away and wants no more for a time; it gets none.",
             "Investigate the instance if it happens often: it is short of resources.";
+        5040 Info PeerLinkStarted {
+            /// Address on which frames of other gateways arrive.
+            addr: String,
+            /// Random number of this run of the gateway.
+            run: u64,
+        } = "The gateway has the key of the link between gateways and exchanges frames.", "Nothing.";
+        5041 Warn PeerLinkWithoutKey {
+            /// Error of the store.
+            reason: String,
+        } = "The key of the link between gateways could not be read; it is retried, and the gateway works without the link.",
+            "Check the connection to the platform's store if it persists.";
+        5042 Info PeerHeard {
+            /// Id of the other gateway.
+            peer: InstanceId,
+            /// Address from which the frame came.
+            addr: String,
+            /// Random number of the other gateway's run.
+            run: u64,
+        } = "The first frame of another gateway has arrived, or the first after a long silence.", "Nothing.";
+        5043 Info PeerRemoved {
+            /// Id of the other gateway.
+            peer: InstanceId,
+        } = "Another gateway has been silent for 30 s and has no record in the platform's store.", "Nothing.";
     }
 }
