Gateways report their load at each instance to each other

Cause: each gateway predicts waits from its own requests only (docs/design/fleet.md, part 2).

Change: policy::placement::remote_load keeps the load of the other gateways by instance and rank (sums are kept up to date, so that a report costs its own size), and totals by upstream: long prompts that wait and were read, and what the split into lanes follows from, so that all gateways compute nearly the same split. Predictions count the unread tokens of the own and more urgent ranks of all gateways, memory and slots of all, and are at least the age of the oldest own request that waits there. Overload control uses the sums of the fleet.

--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -17,7 +17,7 @@
     announcement::Announcements,
     crash_evidence::{CrashLog, InstanceEnd, Suspect},
     named_limit::NamedLimits,
-    placement::{Capacity, InstanceSpec, Placer},
+    placement::{Capacity, InstanceLoad, InstanceSpec, Placer},
     retry::WindowedRetryBudget,
     roster::{Member, Roster},
 };
@@ -28,6 +28,7 @@
 use crate::{
     header_codec::HeaderCodec,
     live::LiveSettings,
+    load_exchange::{LoadExchange, LoadKeys},
     peers::{PeerDirectory, PeerExchange},
     response::LargeBodyPool,
     routing::Routing,
@@ -53,6 +54,7 @@
     addrs: IndexMap<InstanceId, Arc<str>>,
     upstreams: IndexMap<InstanceId, UpstreamName>,
     incarnations: IndexMap<InstanceId, u64>,
+    pub(crate) load_keys: LoadKeys,
 }
 
 impl RosterView {
@@ -95,6 +97,7 @@
     pub(crate) peer_directory: Arc<dyn PeerDirectory>,
     /// Link to other gateways, with its bootstrapping; `None` if not enabled.
     pub(crate) udp_link: Option<Arc<UdpLink>>,
+    pub(crate) load_exchange: LoadExchange,
     /// Wakes the maintenance after a change of the roster.
     pub(crate) maintenance_due: (Sender<()>, Receiver<()>),
     placers: Mutex<IndexMap<UpstreamName, Placer>>,
@@ -134,6 +137,7 @@
             peers: PeerExchange::default(),
             peer_directory,
             udp_link,
+            load_exchange: LoadExchange::default(),
             maintenance_due: smol::channel::bounded(1),
             placers: Mutex::default(),
             retry_budgets: Mutex::default(),
@@ -192,7 +196,36 @@
         change: impl FnOnce(&mut Placer) -> T,
     ) -> T {
         let mut placers = lock(&self.placers);
-        change(placers.entry(upstream.clone()).or_default())
+        let placer = placers.entry(upstream.clone());
+        change(placer.or_insert_with(|| self.new_placer()))
+    }
+
+    fn new_placer(&self) -> Placer {
+        let mut placer = Placer::default();
+        if self.udp_link.is_some() {
+            placer.count_peers();
+        }
+        placer
+    }
+
+    /// Runs `visit` on all placers, whose lock it holds meanwhile.
+    pub(crate) fn for_each_placer(&self, mut visit: impl FnMut(&UpstreamName, &mut Placer)) {
+        for (upstream, placer) in lock(&self.placers).iter_mut() {
+            visit(upstream, placer);
+        }
+    }
+
+    /// Replaces the load of other gateways at these instances.
+    pub(crate) fn set_peer_loads<'a>(
+        &self,
+        loads: impl Iterator<Item = (&'a UpstreamName, &'a InstanceId, InstanceLoad)>,
+    ) {
+        let mut placers = lock(&self.placers);
+        for (upstream, instance, load) in loads {
+            if let Some(placer) = placers.get_mut(upstream) {
+                placer.set_peer_load(instance, load);
+            }
+        }
     }
 
     /// Runs `change` on the retry budget of an upstream, which is created on
@@ -274,10 +307,15 @@
                 .iter()
                 .map(|member| instance_spec(member, memory_tokens))
                 .collect();
-            placers.entry(upstream).or_default().set_members(&specs);
+            let placer = placers.entry(upstream);
+            placer
+                .or_insert_with(|| self.new_placer())
+                .set_members(&specs);
             view.usable += members.len();
             for member in members {
                 let incarnation = member.incarnation;
+                view.load_keys
+                    .add(&member.upstream, &member.instance, incarnation);
                 view.incarnations
                     .insert(member.instance.clone(), incarnation);
                 view.upstreams
@@ -288,6 +326,7 @@
         let view = Arc::new(view);
         self.view.store(view.clone());
         drop(placers);
+        self.apply_all_loads();
         let is_listed = |instance: &InstanceId, incarnation: u64| {
             view.incarnation(instance) == Some(incarnation)
         };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod header_codec;
 mod headers;
 mod live;
+mod load_exchange;
 mod named_limits;
 mod peers;
 mod platform_sync;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -165,7 +165,9 @@
         .map_err(|_| Failure::not_run(ErrorCode::MalformedRequest, "invalid HTTP method"))?;
     let body = read_body(conn, &config.limits).await?;
     let timeout = meta.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
+    let priority = config.priority(team.as_deref(), &route);
     let demand = Demand {
+        priority,
         parts: meta.parts,
         prompt_tokens: meta.prompt_tokens,
         output_tokens: meta.output_tokens,
@@ -182,7 +184,7 @@
         headers: headers::without_hop_by_hop(headers),
         body,
         upstream: route.select_upstream(rand::random()).clone(),
-        priority: config.priority(team.as_deref(), &route),
+        priority,
         team: team.map(|team| team.name.clone()),
         route,
         demand,
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -20,7 +20,7 @@
     feed::Feed,
     guard::CallerGuardPolicy,
     header_codec::HeaderCodec,
-    live,
+    live, load_exchange,
     peers::{publish_own_record, start_link, sync_peers, PeerDirectory},
     platform_sync,
     routing::Routing,
@@ -117,6 +117,7 @@
     async_global_executor::spawn(sync_peers(app.clone(), platform.peers.clone())).detach();
     async_global_executor::spawn(publish_own_record(app.clone(), platform.peers)).detach();
     start_link(&app);
+    load_exchange::start(&app);
     async_global_executor::spawn(platform_sync::run_maintenance(app.clone())).detach();
     async_global_executor::spawn(live::reload_periodically(app.clone())).detach();
     let callers = spawn(callers_socket, &app, callers_handler(app.clone()));
--- a/crates/policy/src/placement/instance.rs
+++ b/crates/policy/src/placement/instance.rs
@@ -6,6 +6,7 @@
     cache::CachedParts,
     lanes::{ByLane, Lane},
     lateness::Lateness,
+    remote_load::{rank_of, InstanceKey, InstanceLoad, RankedLoad},
     Demand, InstanceSpec, Placement,
 };
 
@@ -44,6 +45,7 @@
     pause_target_ms: u32,
     is_tracked: bool,
     prefill_finished: bool,
+    rank: usize,
 }
 
 impl Ticket {
@@ -99,6 +101,7 @@
     unreachable: bool,
     /// Start of the current wait for first events.
     awaiting_since: TimeMs,
+    ranked: RankedLoad,
 }
 
 impl TrackedInstance {
@@ -145,6 +148,7 @@
             last_activity_at: TimeMs(0),
             unreachable: false,
             awaiting_since: TimeMs(0),
+            ranked: RankedLoad::new(InstanceKey::new(&member.instance, member.incarnation)),
         }
     }
 
@@ -193,7 +197,8 @@
         cached_tokens: u32,
         lane_lateness_ms: f64,
     ) -> f64 {
-        let running = f64::from(self.in_flight);
+        let peers = self.ranked.peers();
+        let running = f64::from(self.in_flight) + peers.in_flight as f64;
         let expected_ms = match self.capacity {
             Capacity::Service { slots } => {
                 let rounds = running / f64::from(slots.max(1));
@@ -204,11 +209,13 @@
                 memory_tokens,
             } => {
                 let prefill_tokens = f64::from(demand.prompt_tokens.saturating_sub(cached_tokens));
-                let prefill_ms =
-                    (self.pending_prefill_tokens + prefill_tokens) / Self::PREFILL_TOKENS_PER_MS;
+                let ahead = self.ranked.unread_ahead(rank_of(demand.priority));
+                let ahead = ahead.unwrap_or(self.pending_prefill_tokens);
+                let prefill_ms = (ahead + prefill_tokens) / Self::PREFILL_TOKENS_PER_MS;
                 let needed_tokens = f64::from(demand.prompt_tokens + demand.output_tokens / 2);
+                let used_tokens = self.memory_tokens + peers.memory_tokens as f64;
                 let memory_excess =
-                    (self.memory_tokens + needed_tokens) / memory_tokens.max(1) as f64 - 1.0;
+                    (used_tokens + needed_tokens) / memory_tokens.max(1) as f64 - 1.0;
                 let slots_excess = (running + 1.0) / f64::from(slots.max(1)) - 1.0;
                 let excess = memory_excess.max(slots_excess).max(0.0);
                 let wait_ms = if excess > 0.0 {
@@ -239,6 +246,8 @@
         let memory_tokens = f64::from(demand.prompt_tokens + demand.output_tokens / 2);
         self.pending_prefill_tokens += pending_prefill_tokens;
         self.memory_tokens += memory_tokens;
+        let rank = rank_of(demand.priority);
+        self.ranked.on_sent(now, rank, pending_prefill_tokens);
         self.parts.record(now, demand.shared());
         let lane = Lane::of(demand);
         Ticket {
@@ -253,6 +262,7 @@
             pause_target_ms: demand.pause_target_ms,
             is_tracked: true,
             prefill_finished: false,
+            rank,
         }
     }
 
@@ -308,11 +318,33 @@
             return;
         }
         ticket.prefill_finished = true;
+        self.ranked
+            .on_read(ticket.rank, ticket.sent_at, ticket.pending_prefill_tokens);
         self.awaiting_first_event = self.awaiting_first_event.saturating_sub(1);
         self.pending_prefill_tokens =
             (self.pending_prefill_tokens - ticket.pending_prefill_tokens).max(0.0);
     }
 
+    pub(super) fn ranked_mut(&mut self) -> &mut RankedLoad {
+        &mut self.ranked
+    }
+
+    /// Returns the load of this entry at the instance, with the key for reports.
+    pub(super) fn own_load(&self) -> (InstanceKey, InstanceLoad) {
+        let load = InstanceLoad {
+            in_flight: u64::from(self.in_flight),
+            memory_tokens: self.memory_tokens as u64,
+            unread_tokens: self.ranked.own_unread(),
+        };
+        (self.ranked.key(), load)
+    }
+
+    /// Returns the age of the oldest request here that an instance serves before
+    /// one like `demand` and that waits for its first event, in milliseconds.
+    pub(super) fn oldest_wait_ms(&self, now: TimeMs, demand: &Demand) -> f64 {
+        self.ranked.oldest_wait_ms(now, rank_of(demand.priority))
+    }
+
     pub(super) fn on_failure(&mut self, now: TimeMs) {
         let failures = self.failures.min(16);
         self.failures += 1;
--- a/crates/policy/src/placement/lanes.rs
+++ b/crates/policy/src/placement/lanes.rs
@@ -139,14 +139,45 @@
 }
 
 impl Work {
-    fn add(&mut self, now: TimeMs, lane: Lane, tokens: f64) {
+    fn add(&mut self, now: TimeMs, prompts: u64, tokens: ByLane<f64>) {
         let decay = decay_factor(now, self.recorded_at, WORK_HALF_LIFE_MS)
-            .max(0.5_f64.powf(1.0 / WORK_HALF_LIFE_PROMPTS));
+            .max(0.5_f64.powf(prompts as f64 / WORK_HALF_LIFE_PROMPTS));
         self.recorded_at = now;
         for lane in [Lane::Short, Lane::Long] {
-            *self.tokens.get_mut(lane) *= decay;
+            let sum = self.tokens.get_mut(lane);
+            *sum = *sum * decay + tokens.get(lane);
+        }
+    }
+}
+
+const PERMILLE: f64 = 1_000.0;
+
+/// Sums of what one entry observed, from which the split follows. They only rise
+/// within a run, so that a lost report loses nothing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LaneTotals {
+    /// Prompts placed.
+    pub prompts: u64,
+    /// Tokens to prefill of the short ones.
+    pub short_tokens: u64,
+    /// Tokens to prefill of the long ones.
+    pub long_tokens: u64,
+    /// Pauses within streams of short prompts.
+    pub pauses: u64,
+    /// Sum of these pauses, in thousandths of the pause that the class allows.
+    pub pause_permille: u64,
+}
+
+impl LaneTotals {
+    /// Returns the change since earlier totals of the same run.
+    pub(super) fn since(&self, earlier: &Self) -> Self {
+        Self {
+            prompts: self.prompts.saturating_sub(earlier.prompts),
+            short_tokens: self.short_tokens.saturating_sub(earlier.short_tokens),
+            long_tokens: self.long_tokens.saturating_sub(earlier.long_tokens),
+            pauses: self.pauses.saturating_sub(earlier.pauses),
+            pause_permille: self.pause_permille.saturating_sub(earlier.pause_permille),
         }
-        *self.tokens.get_mut(lane) += tokens;
     }
 }
 
@@ -167,6 +198,8 @@
     /// positions.
     short_instances: usize,
     positions: Vec<usize>,
+    /// Prompts and pauses that this entry observed, since the start.
+    own: LaneTotals,
 }
 
 impl Default for Lanes {
@@ -182,6 +215,7 @@
             pause_share: FULL_PAUSE_SHARE / 2.0,
             short_instances: 0,
             positions: Vec::new(),
+            own: LaneTotals::default(),
         }
     }
 }
@@ -205,16 +239,47 @@
         let shared = demand.shared_tokens();
         let own = demand.prompt_tokens.saturating_sub(shared);
         let tokens = f64::from(own) + UNCACHED_SHARE * f64::from(shared);
-        self.work.add(now, Lane::of(demand), tokens);
+        let mut by_lane = ByLane::default();
+        *by_lane.get_mut(Lane::of(demand)) = tokens;
+        self.own.prompts += 1;
+        self.own.short_tokens += by_lane.short as u64;
+        self.own.long_tokens += by_lane.long as u64;
+        self.work.add(now, 1, by_lane);
         self.update_split();
     }
 
+    /// Returns what this entry observed since its start.
+    pub(super) fn own_totals(&self) -> LaneTotals {
+        self.own
+    }
+
+    /// Records what another entry observed since its last report, as if this one
+    /// had observed it, so that all entries compute the same split.
+    pub(super) fn record_peer(&mut self, now: TimeMs, observed: &LaneTotals) {
+        if observed.prompts > 0 {
+            let tokens = ByLane {
+                short: observed.short_tokens as f64,
+                long: observed.long_tokens as f64,
+            };
+            self.work.add(now, observed.prompts, tokens);
+            self.update_split();
+        }
+        if observed.pauses > 0 {
+            let mean = observed.pause_permille as f64 / observed.pauses as f64 / PERMILLE;
+            let kept = (1.0 - PAUSE_SAMPLE_WEIGHT).powf(observed.pauses as f64);
+            self.pause_share = mean + (self.pause_share - mean) * kept;
+        }
+    }
+
     /// Records a pause within a stream of a short prompt. Only the first half
     /// of the reserved instances counts, to which no entry sends long prompts:
     /// entries with different splits then observe the same pauses and converge.
     pub(super) fn record_pause(&mut self, index: usize, pause_share: f64) {
         if self.positions[index] * 2 <= self.short_instances {
-            self.pause_share += PAUSE_SAMPLE_WEIGHT * (pause_share.min(1.0) - self.pause_share);
+            let pause_share = pause_share.min(1.0);
+            self.own.pauses += 1;
+            self.own.pause_permille += (pause_share * PERMILLE) as u64;
+            self.pause_share += PAUSE_SAMPLE_WEIGHT * (pause_share - self.pause_share);
         }
     }
 
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -18,21 +18,27 @@
 mod lanes;
 mod lateness;
 mod overload;
+mod remote_load;
 
 use std::sync::Arc;
 
 use indexmap::IndexMap;
-use types::{InstanceId, TimeMs};
+use types::{InstanceId, Priority, TimeMs};
 
 pub use instance::{Capacity, Ticket};
-pub use lanes::LaneSplit;
+pub use lanes::{LaneSplit, LaneTotals};
 pub use overload::{Overload, Urgency};
+pub use remote_load::{
+    InstanceKey, InstanceLoad, LoadReport, PeerLoads, QueueTotals, UpstreamTotals, RANKS,
+    VALUE_TTL_MS,
+};
 
 use home::home_ranks;
 use instance::TrackedInstance;
 use lanes::{ByLane, Lane, Lanes};
 use lateness::Lateness;
 use overload::OverloadControl;
+use remote_load::PeerTotals;
 
 /// A contiguous part of a prompt, such as a system prompt or a document.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,6 +64,8 @@
     /// Target for the longest pause between two events, in milliseconds; 0 if
     /// the answer is not a stream.
     pub pause_target_ms: u32,
+    /// Priority, `u8::MAX` for the most urgent rank; see [`RANKS`].
+    pub priority: Priority,
 }
 
 impl Demand {
@@ -126,6 +134,9 @@
     /// Lateness over all instances, per lane. Long prompts wait behind short
     /// ones, so the long lane may be late while the short one is on time.
     lane_lateness: ByLane<Lateness>,
+    /// Whether the load of other entries counts, and ranks with it.
+    counts_peers: bool,
+    peer_totals: PeerTotals,
 }
 
 impl Placer {
@@ -179,6 +190,9 @@
                 .filter(|tracked| tracked.incarnation() == member.incarnation);
             let mut tracked = existing.unwrap_or_else(|| TrackedInstance::new(member));
             tracked.set_capacity(member.capacity);
+            if self.counts_peers {
+                tracked.ranked_mut().enable();
+            }
             self.instances.insert(member.instance.clone(), tracked);
         }
         self.lanes.set_instances(self.instances.keys());
@@ -195,9 +209,10 @@
     ) -> Option<Overload> {
         match Lane::of(demand) {
             Lane::Short => None,
-            Lane::Long => self
-                .overload_control
-                .overload(now, urgency, demand.target_ms),
+            Lane::Long => {
+                self.overload_control
+                    .overload(now, urgency, demand.target_ms, &self.peer_totals)
+            }
         }
     }
 
@@ -221,7 +236,12 @@
         exclude: &[InstanceId],
         usable: impl Fn(&TrackedInstance) -> bool,
     ) -> Option<Placement> {
-        let lateness_ms = self.overall_lateness_ms(now);
+        let lateness_ms = match self.counts_peers {
+            true => self
+                .overall_lateness_ms(now)
+                .max(self.mean_wait_ms(now, demand)),
+            false => self.overall_lateness_ms(now),
+        };
         let excess_lateness_ms = (lateness_ms - Self::SPARE_CAPACITY_LATENESS_MS).max(0.0);
         let redundant_prefill_weight = Self::REDUNDANT_PREFILL_WEIGHT
             + excess_lateness_ms / Self::REDUNDANT_PREFILL_LATENESS_MS;
@@ -253,7 +273,7 @@
                 true => 0.0,
                 false => Lanes::other_lane_penalty_ms(lane),
             };
-            let cost = predicted_ms
+            let cost = predicted_ms.max(tracked.oldest_wait_ms(now, demand))
                 + redundant_prefill_weight * tracked.redundant_prefill_ms(demand, cached_tokens)
                 + Self::HOME_RANK_PENALTY_MS * home_rank.min(2) as f64
                 + other_lane_penalty_ms;
@@ -271,6 +291,67 @@
         best.map(|(_, placement)| placement)
     }
 
+    /// Returns the mean predicted wait of a prompt that is cached as a whole, over
+    /// all instances.
+    fn mean_wait_ms(&self, now: TimeMs, demand: &Demand) -> f64 {
+        let tracked = self.instances.values();
+        let waits =
+            tracked.map(|tracked| tracked.predicted_ms(now, demand, demand.prompt_tokens, 0.0));
+        waits.sum::<f64>() / self.instances.len().max(1) as f64
+    }
+
+    /// Counts the load of other entries from now on, and the load at each instance
+    /// by rank.
+    pub fn count_peers(&mut self) {
+        self.counts_peers = true;
+        for tracked in self.instances.values_mut() {
+            tracked.ranked_mut().enable();
+        }
+    }
+
+    /// Applies the totals of another entry, and returns whether they are newer
+    /// than those known.
+    pub fn on_peer_totals(
+        &mut self,
+        now: TimeMs,
+        entry: &InstanceId,
+        run: u64,
+        totals: &UpstreamTotals,
+    ) {
+        if let Some(change) = self.peer_totals.replace(now, entry, run, totals) {
+            self.lanes.record_peer(now, &change.lanes);
+            let prefilled_tokens = change.queue.prefilled_tokens;
+            self.overload_control
+                .on_peer_prefilled(now, prefilled_tokens);
+        }
+    }
+
+    /// Removes expired totals of other entries.
+    pub fn expire_peer_totals(&mut self, now: TimeMs) {
+        self.peer_totals.expire(now);
+    }
+
+    /// Returns the totals of this entry.
+    pub fn own_totals(&self) -> UpstreamTotals {
+        UpstreamTotals {
+            queue: self.overload_control.own_queue(),
+            lanes: self.lanes.own_totals(),
+        }
+    }
+
+    /// Replaces the load of all other entries at an instance.
+    pub fn set_peer_load(&mut self, instance: &InstanceId, load: InstanceLoad) {
+        if let Some(tracked) = self.instances.get_mut(instance) {
+            tracked.ranked_mut().set_peers(load);
+        }
+    }
+
+    /// Returns the load of this entry at the instances at which it has any.
+    pub fn own_loads(&self) -> impl Iterator<Item = (InstanceKey, InstanceLoad)> + '_ {
+        let loads = self.instances.values().map(TrackedInstance::own_load);
+        loads.filter(|(_, load)| !load.is_zero())
+    }
+
     /// Returns the current division of the instances between short and long
     /// prompts.
     pub fn lane_split(&self) -> LaneSplit {
--- a/crates/policy/src/placement/overload.rs
+++ b/crates/policy/src/placement/overload.rs
@@ -17,7 +17,10 @@
 use indexmap::IndexMap;
 use types::{Priority, TimeMs};
 
-use super::lateness::decay_factor;
+use super::{
+    lateness::decay_factor,
+    remote_load::{PeerTotals, QueueTotals},
+};
 
 /// Window over which the prefill rate is averaged: several prompts even for an
 /// entry that sends only a few long ones per second.
@@ -95,6 +98,8 @@
 pub(super) struct OverloadControl {
     waiting: u32,
     waiting_tokens: f64,
+    /// Tokens of this entry's prompts prefilled since the start.
+    prefilled_tokens: u64,
     rate: PrefillRate,
     /// Time at which each priority was last seen.
     priorities: IndexMap<Priority, TimeMs>,
@@ -107,21 +112,30 @@
     /// Returns the overload if the prompt should be refused. Only prompts of
     /// the lowest priority seen recently are refused: engines serve higher
     /// priorities first, so those wait less than predicted here.
+    ///
+    /// `peers` holds the prompts of the other entries that wait, and is empty if
+    /// they are not known.
     pub(super) fn overload(
         &mut self,
         now: TimeMs,
         urgency: &Urgency,
         target_ms: u32,
+        peers: &PeerTotals,
     ) -> Option<Overload> {
         let is_least_urgent = self.record_priority(now, urgency.priority);
         let wait_share = match self.is_retry(now, urgency.remaining_ms, target_ms) {
             true => RETRY_WAIT_SHARE,
             false => WAIT_SHARE,
         };
-        if !is_least_urgent || self.waiting < ALWAYS_ADMITTED_PROMPTS {
+        if !is_least_urgent {
             return None;
         }
-        let wait_ms = self.waiting_tokens / self.rate.tokens_per_ms(now)?;
+        let waiting = u64::from(self.waiting) + peers.waiting_prompts();
+        if waiting < u64::from(ALWAYS_ADMITTED_PROMPTS) {
+            return None;
+        }
+        let waiting_tokens = self.waiting_tokens + peers.waiting_tokens();
+        let wait_ms = waiting_tokens / self.rate.tokens_per_ms(now)?;
         let excess_ms = wait_ms - wait_share * f64::from(target_ms);
         (excess_ms > 0.0).then_some(Overload { wait_ms, excess_ms })
     }
@@ -136,9 +150,28 @@
     /// Records that a prompt was prefilled.
     pub(super) fn on_prefilled(&mut self, now: TimeMs, tokens: f64) {
         self.on_removed(tokens);
+        self.prefilled_tokens += tokens as u64;
         self.rate.add(now, tokens);
     }
 
+    /// Records that other entries had `tokens` prefilled.
+    pub(super) fn on_peer_prefilled(&mut self, now: TimeMs, tokens: u64) {
+        if tokens > 0 {
+            self.rate.start(now);
+            self.rate.add(now, tokens as f64);
+        }
+    }
+
+    /// Returns the prompts of this entry that wait, and the tokens prefilled since
+    /// the start.
+    pub(super) fn own_queue(&self) -> QueueTotals {
+        QueueTotals {
+            waiting_prompts: u64::from(self.waiting),
+            waiting_tokens: self.waiting_tokens as u64,
+            prefilled_tokens: self.prefilled_tokens,
+        }
+    }
+
     /// Stops counting a prompt as waiting, whether or not it was prefilled.
     pub(super) fn on_removed(&mut self, tokens: f64) {
         self.waiting = self.waiting.saturating_sub(1);
--- a/crates/policy/tests/many_entries.rs
+++ b/crates/policy/tests/many_entries.rs
@@ -10,7 +10,7 @@
 use rapidhash::v3::rapidhash_v3;
 use support::engine::BLOCKING_PREFILL;
 use support::prompts::{instance_spec, Arrival, Outcome, Rule, Simulation};
-use types::TimeMs;
+use types::{Priority, TimeMs};
 
 const ENGINES: usize = 180;
 const ENTRIES: usize = 103;
@@ -130,6 +130,7 @@
             output_tokens: arrival.output_tokens,
             target_ms: arrival.target_ms as u32,
             pause_target_ms: arrival.pause_target_ms as u32,
+            priority: Priority(arrival.priority),
         };
         let placer = &mut placers[arrival.entry];
         let now = TimeMs(arrival.at_ms);
--- a/crates/policy/tests/overload.rs
+++ b/crates/policy/tests/overload.rs
@@ -38,6 +38,7 @@
         output_tokens: 100,
         target_ms: TARGET_MS,
         pause_target_ms: 800,
+        priority: LOW,
     }
 }
 
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -10,7 +10,7 @@
 use rstest::rstest;
 use support::engine::{Timing, BLOCKING_PREFILL, NON_BLOCKING_PREFILL};
 use support::prompts::{instance, instance_spec, load_trace, Arrival, Outcome, Rule, Simulation};
-use types::{InstanceId, TimeMs};
+use types::{InstanceId, Priority, TimeMs};
 
 /// Number of engines that the trace leaves half idle once their caches are
 /// warm.
@@ -158,6 +158,7 @@
         output_tokens: 120,
         target_ms: 1_500,
         pause_target_ms: 800,
+        priority: Priority::default(),
     }
 }
 
--- a/crates/policy/tests/support/engine.rs
+++ b/crates/policy/tests/support/engine.rs
@@ -37,6 +37,18 @@
     noise_percent: 15,
 };
 
+impl Timing {
+    /// Returns the timing of an engine that works at a multiple of this speed.
+    pub fn at_speed(self, speed: f64) -> Self {
+        Self {
+            prefill_tokens_per_ms: self.prefill_tokens_per_ms * speed,
+            step_ms: self.step_ms / speed,
+            step_per_request_ms: self.step_per_request_ms / speed,
+            ..self
+        }
+    }
+}
+
 /// Timing of engines whose streams are not delayed by prefill.
 pub const NON_BLOCKING_PREFILL: Timing = Timing {
     prefill_tokens_per_ms: f64::INFINITY,
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -349,5 +349,10 @@
             /// Id of the other gateway.
             peer: InstanceId,
         } = "Another gateway has been silent for 30 s and has no record in the platform's store.", "Nothing.";
+        5050 Info PeerLoadCounted {
+        } = "The load of other gateways counts in placement from now on.", "Nothing.";
+        5051 Info PeerLoadAbsent {
+        } = "No other gateway has reported load lately; this gateway places requests by its own alone.",
+            "Nothing if there is little traffic; else check the link between gateways.";
     }
 }
