Placement: weigh copies of cached prefixes between engines

Cause: a prompt with a popular shared part waits at the home of the part, or leaves it at the price of reading the part again (three times the time of reading in the cost), although engines copy the part from each other in 10 to 35 ms.

Change: `placement/fetch.rs` predicts a copy (link, earlier copies of this entry at source and receiver, availability zone), refuses one that takes longer than reading, and names the source. Where a copy can be had, the cost of an instance counts the copy in place of the redundant prefill. A first home to which this entry has not sent the parts recently asks the second home, or a known holder, as a precaution. Without a link rate nothing changes.

--- a/crates/policy/src/placement/instance.rs
+++ b/crates/policy/src/placement/instance.rs
@@ -160,6 +160,12 @@
         self.in_flight
     }
 
+    /// Returns the number of prompt tokens in the shared parts that this entry has
+    /// sent here recently.
+    pub(super) fn sent_tokens(&self, now: TimeMs, demand: &Demand) -> u32 {
+        self.parts.cached_tokens(now, demand.shared())
+    }
+
     /// Returns the number of prompt tokens that need no prefill here. The first
     /// home is assumed to have the shared parts cached even if this entry has
     /// not sent them there, because other entries have.
@@ -234,8 +240,7 @@
         }
         self.in_flight += 1;
         self.awaiting_first_event += 1;
-        let pending_prefill_tokens =
-            f64::from(demand.prompt_tokens.saturating_sub(placement.cached_tokens));
+        let pending_prefill_tokens = f64::from(placement.prefill_tokens(demand));
         let memory_tokens = f64::from(demand.prompt_tokens + demand.output_tokens / 2);
         self.pending_prefill_tokens += pending_prefill_tokens;
         self.memory_tokens += memory_tokens;
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -13,6 +13,7 @@
 //! the delay of first events beyond their prediction.
 
 mod cache;
+mod fetch;
 mod home;
 mod instance;
 mod lanes;
@@ -24,10 +25,12 @@
 use indexmap::IndexMap;
 use types::{InstanceId, TimeMs};
 
+pub use fetch::{CopyDecision, CopyLink, CopyRefusal, PrefixCopy};
 pub use instance::{Capacity, Ticket};
 pub use lanes::LaneSplit;
 pub use overload::{Overload, Urgency};
 
+use fetch::Copies;
 use home::home_ranks;
 use instance::TrackedInstance;
 use lanes::{ByLane, Lane, Lanes};
@@ -106,6 +109,16 @@
     pub home_rank: usize,
     /// Number of this entry's requests in flight at the instance.
     pub in_flight: u32,
+    /// Whether the instance should copy shared parts from another one.
+    pub prefix_copy: CopyDecision,
+}
+
+impl Placement {
+    /// Returns the prompt tokens that the instance is expected to prefill.
+    fn prefill_tokens(&self, demand: &Demand) -> u32 {
+        let present_tokens = self.cached_tokens + self.prefix_copy.expected_tokens();
+        demand.prompt_tokens.saturating_sub(present_tokens)
+    }
 }
 
 /// Places the requests of one upstream.
@@ -121,6 +134,7 @@
     instances: IndexMap<InstanceId, TrackedInstance>,
     lanes: Lanes,
     overload_control: OverloadControl,
+    copies: Copies,
     /// Lateness over all instances and lanes.
     lateness: Lateness,
     /// Lateness over all instances, per lane. Long prompts wait behind short
@@ -245,16 +259,23 @@
                 .map(|(instance, _, is_own_lane)| (*instance, *is_own_lane)),
             demand.shared(),
         );
+        let holders = self.holders(now, demand, &candidates, &ranks);
         let mut best: Option<(f64, Placement)> = None;
         for ((instance, tracked, is_own_lane), home_rank) in candidates.into_iter().zip(ranks) {
             let cached_tokens = tracked.cached_tokens(now, demand, home_rank);
-            let predicted_ms = tracked.predicted_ms(now, demand, cached_tokens, lane_lateness_ms);
+            let receiver = (instance, tracked, home_rank);
+            let prefix_copy = self.plan_copy(now, demand, receiver, &holders);
+            let present_tokens = cached_tokens + prefix_copy.expected_tokens();
+            let predicted_ms = tracked.predicted_ms(now, demand, present_tokens, lane_lateness_ms)
+                + prefix_copy.delay_ms();
+            let redundant_ms = tracked.redundant_prefill_ms(demand, present_tokens)
+                + prefix_copy.burden_ms(tracked, demand);
             let other_lane_penalty_ms = match is_own_lane {
                 true => 0.0,
                 false => Lanes::other_lane_penalty_ms(lane),
             };
             let cost = predicted_ms
-                + redundant_prefill_weight * tracked.redundant_prefill_ms(demand, cached_tokens)
+                + redundant_prefill_weight * redundant_ms
                 + Self::HOME_RANK_PENALTY_MS * home_rank.min(2) as f64
                 + other_lane_penalty_ms;
             if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
@@ -264,6 +285,7 @@
                     cached_tokens,
                     home_rank,
                     in_flight: tracked.in_flight(),
+                    prefix_copy,
                 };
                 best = Some((cost, placement));
             }
@@ -284,6 +306,9 @@
             self.lanes.record_prompt(now, demand);
         }
         let lateness_ms = self.lane_lateness_ms(now, Lane::of(demand));
+        if let Some(copy) = placement.prefix_copy.requested() {
+            self.copies.on_requested(now, &placement.instance, copy);
+        }
         let Some(tracked) = self.instances.get_mut(&placement.instance) else {
             return Ticket::default();
         };
--- /dev/null
+++ b/crates/policy/tests/prefix_copies.rs
@@ -0,0 +1,313 @@
+//! Placement with copies of cached prefixes between engines, replayed with and
+//! without the rate of the links.
+//!
+//! `--nocapture` prints the tables in docs/design/prefix-copies.md.
+#![allow(missing_docs)]
+
+mod support;
+
+use policy::placement::{CopyDecision, CopyLink, Demand, InstanceSpec, Part, Placement, Placer};
+use rapidhash::v3::rapidhash_v3;
+use rstest::rstest;
+use support::engine::BLOCKING_PREFILL;
+use support::prompts::{instance, instance_spec, zone, Arrival, Links, Outcome, Rule, Simulation};
+use types::{InstanceId, TimeMs};
+
+const ENGINES: usize = 39;
+
+/// Figures of the users' three kinds of engine.
+const KINDS: [Links; 3] = [
+    Links {
+        kv_token_bytes: 327_680,
+        link_mbps: 1_100_000,
+        set_up_ms: 1.7,
+    },
+    Links {
+        kv_token_bytes: 35_136,
+        link_mbps: 370_000,
+        set_up_ms: 4.0,
+    },
+    Links {
+        kv_token_bytes: 18_432,
+        link_mbps: 180_000,
+        set_up_ms: 8.0,
+    },
+];
+
+struct Class {
+    per_s: u64,
+    shared_tokens: u32,
+    own_tokens: u32,
+    output_tokens: u32,
+    target_ms: u64,
+    pause_target_ms: u64,
+    priority: u8,
+}
+
+const fn class(
+    per_s: u64,
+    (shared_tokens, own_tokens, output_tokens): (u32, u32, u32),
+    (target_ms, pause_target_ms): (u64, u64),
+    priority: u8,
+) -> Class {
+    Class {
+        per_s,
+        shared_tokens,
+        own_tokens,
+        output_tokens,
+        target_ms,
+        pause_target_ms,
+        priority,
+    }
+}
+
+const CLASSES: [Class; 3] = [
+    class(120, (13_300, 3_720, 60), (2_000, 800), 10),
+    class(95, (6_300, 2_890, 28), (650, 325), 20),
+    class(120, (350, 1_110, 88), (400, 200), 30),
+];
+
+/// Numbers of subjects of a class whose shared parts take a third of the caches,
+/// and two thirds. The instances for short prompts take few of them, so that the
+/// other caches are full with the second number.
+const FEW_SUBJECTS: u64 = 200;
+const MANY_SUBJECTS: u64 = 450;
+
+/// Returns a number from 0 to 1.
+fn draw(seed: u64, purpose: u64) -> f64 {
+    let hash = rapidhash_v3(&[seed.to_le_bytes(), purpose.to_le_bytes()].concat());
+    hash as f64 / u64::MAX as f64
+}
+
+/// Returns the arrivals of 12 s over `entries` at the load peak of a deployment
+/// whose caches are empty. The most popular subject of a class gets a sixth of
+/// its requests.
+fn peak_trace(subjects: u64, entries: usize) -> Vec<Arrival> {
+    const SECONDS: u64 = 12;
+    let mut trace = Vec::new();
+    for (number, class) in CLASSES.iter().enumerate() {
+        let length =
+            |seed, purpose, mean: u32| mean / 2 + (draw(seed, purpose) * f64::from(mean)) as u32;
+        for request in 0..class.per_s * SECONDS {
+            let seed = (number as u64) << 32 | request;
+            let rank = (draw(seed, 1).powi(3) * subjects as f64) as u64;
+            let subject = (number as u64) << 32 | rank;
+            trace.push(Arrival {
+                at_ms: (draw(seed, 2) * SECONDS as f64 * 1_000.0) as u64,
+                entry: (draw(seed, 3) * entries as f64) as usize % entries,
+                subject,
+                shared_tokens: length(subject, 4, class.shared_tokens),
+                own_tokens: length(seed, 5, class.own_tokens),
+                output_tokens: class.output_tokens,
+                target_ms: class.target_ms,
+                pause_target_ms: class.pause_target_ms,
+                priority: class.priority,
+            });
+        }
+    }
+    trace.sort_by_key(|arrival| arrival.at_ms);
+    trace
+}
+
+fn replay(trace: &[Arrival], entries: usize, kind: Links, is_configured: bool) -> Outcome {
+    let outcome = Simulation::new(Rule::Placer, ENGINES, BLOCKING_PREFILL, entries)
+        .with_links(kind, is_configured)
+        .replay(trace);
+    println!(
+        "{entries} entries, {} Mbit/s, copies {is_configured}: on time {:.3} of {}, refused {}, read again {}, copies {} of {} ({} tokens), link wait {:.0} ms, busiest link {:.2}, by priority {:?}",
+        kind.link_mbps,
+        outcome.on_time_share(),
+        outcome.requests,
+        outcome.refused,
+        outcome.repeated_prefill_tokens,
+        outcome.copies_made,
+        outcome.copies_requested,
+        outcome.copied_tokens,
+        outcome.longest_link_wait_ms,
+        outcome.busiest_link_share,
+        outcome.by_priority,
+    );
+    outcome
+}
+
+/// Guards against a failure seen under standard load: prompts waited at the home
+/// of a popular part, or were read again elsewhere, although the part can be
+/// copied in a fraction of that time.
+#[rstest]
+#[case::one_entry(1, KINDS[0])]
+#[case::few_entries(4, KINDS[1])]
+#[case::first_kind(21, KINDS[0])]
+#[case::second_kind(21, KINDS[1])]
+#[case::third_kind(21, KINDS[2])]
+#[case::many_entries(103, KINDS[2])]
+fn copies_give_more_requests_on_time_and_less_redundant_prefill(
+    #[case] entries: usize,
+    #[case] kind: Links,
+    #[values(FEW_SUBJECTS, MANY_SUBJECTS)] subjects: u64,
+) {
+    let trace = peak_trace(subjects, entries);
+
+    let without = replay(&trace, entries, kind, false);
+    let with = replay(&trace, entries, kind, true);
+
+    assert!(with.on_time > without.on_time);
+    assert!(with.repeated_prefill_tokens < without.repeated_prefill_tokens);
+    assert_eq!(without.copies_requested, 0);
+    assert!(with.busiest_link_share < 1.0);
+    // Reading the longest shared part takes that long.
+    assert!(with.longest_link_wait_ms < 350.0);
+}
+
+/// Returns a placer of ten instances in three zones.
+fn placer(link: Option<CopyLink>) -> Placer {
+    let members: Vec<InstanceSpec> = (0..10).map(instance_spec).collect();
+    let mut placer = Placer::default();
+    placer.set_members(&members);
+    placer.set_copy_link(link, (0..10).map(|number| (instance(number), zone(number))));
+    placer
+}
+
+fn link() -> Option<CopyLink> {
+    CopyLink::new(KINDS[0].kv_token_bytes, KINDS[0].link_mbps)
+}
+
+fn demand(shared_tokens: u32) -> Demand {
+    let part = |id, tokens| Part { id, tokens };
+    Demand {
+        parts: [part(7, shared_tokens), part(1 << 50, 3_000)].into(),
+        prompt_tokens: shared_tokens + 3_000,
+        output_tokens: 120,
+        target_ms: 1_500,
+        pause_target_ms: 800,
+    }
+}
+
+fn choose(placer: &Placer, now: u64, shared_tokens: u32, exclude: &[InstanceId]) -> Placement {
+    placer
+        .choose(TimeMs(now), &demand(shared_tokens), exclude)
+        .expect("placer should choose an instance")
+}
+
+/// Sends prompts with the same shared part at once and returns the placements.
+fn send(placer: &mut Placer, count: usize, shared_tokens: u32) -> Vec<Placement> {
+    let mut placements = Vec::new();
+    for _ in 0..count {
+        let placement = choose(placer, 0, shared_tokens, &[]);
+        let _ticket = placer.on_sent(TimeMs(0), &demand(shared_tokens), &placement);
+        placements.push(placement);
+    }
+    placements
+}
+
+/// Guards against a change of deployments whose configuration names no rate.
+#[rstest]
+#[case::no_token_size(0, 180_000)]
+#[case::no_link_rate(18_432, 0)]
+fn placement_is_unchanged_without_a_link_rate(#[case] bytes: u64, #[case] mbps: u64) {
+    let mut unlinked = placer(CopyLink::new(bytes, mbps));
+    let members: Vec<InstanceSpec> = (0..10).map(instance_spec).collect();
+    let mut unconfigured = Placer::default();
+    unconfigured.set_members(&members);
+
+    let placements = send(&mut unlinked, 100, 13_000);
+
+    assert_eq!(placements, send(&mut unconfigured, 100, 13_000));
+    let mut decisions = placements.iter().map(|placement| &placement.prefix_copy);
+    assert!(decisions.all(|decision| *decision == CopyDecision::NotNeeded));
+}
+
+/// Prompts leave a busy home for an instance that copies the part from it
+/// earlier than they would if the part had to be read again.
+#[test]
+fn prompts_leave_a_busy_home_earlier_with_copies() {
+    let home = choose(&placer(None), 0, 13_000, &[]).instance;
+    let first_to_leave = |placements: &[Placement]| {
+        let is_away = |placement: &Placement| placement.instance != home;
+        let position = placements.iter().position(is_away);
+        position.expect("a prompt should leave its home")
+    };
+
+    let without = send(&mut placer(None), 100, 13_000);
+    let with = send(&mut placer(link()), 100, 13_000);
+
+    let first = first_to_leave(&with);
+    assert!(first < first_to_leave(&without));
+    let copy = with[first].prefix_copy.requested().expect("a copy");
+    assert_eq!(copy.source, home);
+}
+
+/// Guards against copies from instances that cannot give them: a request to an
+/// unreachable or leaving engine would wait for it.
+#[rstest]
+#[case::unreachable(|placer: &mut Placer, home: &InstanceId| placer.on_unreachable(TimeMs(0), home), false)]
+#[case::full(|placer: &mut Placer, home: &InstanceId| placer.on_full(TimeMs(0), home), false)]
+#[case::leaving(|_: &mut Placer, _: &InstanceId| {}, true)]
+fn an_unusable_home_gives_no_copies(
+    #[case] fail: fn(&mut Placer, &InstanceId),
+    #[case] is_excluded: bool,
+) {
+    let mut placer = placer(link());
+    let home = send(&mut placer, 1, 13_000)[0].instance.clone();
+    fail(&mut placer, &home);
+    let exclude: Vec<InstanceId> = is_excluded.then(|| home.clone()).into_iter().collect();
+
+    let placement = choose(&placer, 1, 13_000, &exclude);
+
+    assert_ne!(placement.instance, home);
+    let source = placement.prefix_copy.requested().map(|copy| &copy.source);
+    assert_ne!(source, Some(&home));
+}
+
+/// A home that restarted has nothing cached, and asks an instance that this
+/// entry has sent the part to.
+#[test]
+fn a_restarted_home_copies_from_the_instance_that_replaced_it() {
+    let mut placer = placer(link());
+    let home = send(&mut placer, 1, 13_000)[0].instance.clone();
+    placer.on_unreachable(TimeMs(0), &home);
+    let replacement = send(&mut placer, 1, 13_000)[0].instance.clone();
+    let restarted: Vec<InstanceSpec> = (0..10)
+        .map(|number| InstanceSpec {
+            incarnation: 1 + u64::from(instance(number) == home),
+            ..instance_spec(number)
+        })
+        .collect();
+
+    placer.set_members(&restarted);
+    let placement = choose(&placer, 2_000, 13_000, &[]);
+
+    assert_eq!(placement.instance, home);
+    let copy = placement.prefix_copy.requested().expect("a copy");
+    assert_eq!((&copy.source, copy.expected_tokens), (&replacement, 0));
+}
+
+/// Guards against links with more copies than they carry: this entry's copies at
+/// one instance are bounded, and each is shorter than reading the part.
+#[test]
+fn copies_in_progress_at_an_instance_are_bounded() {
+    let placements = send(&mut placer(link()), 300, 13_000);
+
+    let mut counts = std::collections::BTreeMap::new();
+    for placement in &placements {
+        let Some(copy) = placement.prefix_copy.requested() else {
+            continue;
+        };
+        assert!(copy.transfer_ms < 13_000.0 / 56.0, "{copy:?}");
+        for end in [&copy.source, &placement.instance] {
+            *counts.entry(end.clone()).or_insert(0) += 1;
+        }
+    }
+    assert!(!counts.is_empty());
+    assert!(counts.values().all(|count| *count <= 4), "{counts:?}");
+}
+
+/// The set-up of a copy takes longer than reading a short part.
+#[test]
+fn short_parts_are_not_copied_for_their_saving() {
+    let placements = send(&mut placer(link()), 300, 350);
+
+    let copies = placements
+        .iter()
+        .filter_map(|placement| placement.prefix_copy.requested());
+    assert_eq!(copies.filter(|copy| copy.expected_tokens > 0).count(), 0);
+}
--- a/crates/policy/tests/support/engine.rs
+++ b/crates/policy/tests/support/engine.rs
@@ -72,6 +72,8 @@
     /// known.
     pub first_ms: Option<f64>,
     pub longest_pause_ms: f64,
+    /// Time at which the copy of the shared part has arrived; 0 without a copy.
+    pub ready_at: f64,
 }
 
 /// Events of one millisecond of virtual time.
@@ -97,6 +99,9 @@
     running: Vec<Job>,
     /// Cached shared parts, least recently used first.
     cached: IndexMap<u64, u32>,
+    /// Shared parts being copied from other engines: time of arrival, subject
+    /// and tokens.
+    arriving: Vec<(f64, u64, u32)>,
     step_ends_at: f64,
     /// Tokens that the current step prefills, by request number.
     step_prefills: IndexMap<usize, u64>,
@@ -112,6 +117,7 @@
             event_at: 0.0,
             first_ms: None,
             longest_pause_ms: 0.0,
+            ready_at: 0.0,
         }
     }
 
@@ -144,6 +150,7 @@
             waiting: Vec::new(),
             running: Vec::new(),
             cached: IndexMap::new(),
+            arriving: Vec::new(),
             step_ends_at: 0.0,
             step_prefills: IndexMap::new(),
         }
@@ -157,14 +164,26 @@
         self.waiting.push(job);
     }
 
+    pub fn has_cached(&self, subject: u64) -> bool {
+        self.cached.contains_key(&subject)
+    }
+
+    /// Adds a shared part to the cache at `at`.
+    pub fn receive_copy(&mut self, at: f64, subject: u64, tokens: u32) {
+        self.arriving.push((at, subject, tokens));
+    }
+
     /// Advances the engine by one millisecond.
     pub fn advance(&mut self, now: u64) -> TickEvents {
         let mut tick = TickEvents::default();
         let until = (now + 1) as f64;
         while self.step_ends_at < until {
             let at = self.step_ends_at.max(now as f64);
+            let arrived = self.arriving.extract_if(.., |(ends_at, ..)| *ends_at <= at);
+            self.cached
+                .extend(arrived.map(|(_, subject, tokens)| (subject, tokens)));
             self.end_step(at, &mut tick);
-            self.admit();
+            self.admit(at);
             if self.running.is_empty() {
                 self.step_ends_at = until;
                 break;
@@ -215,10 +234,12 @@
         }
     }
 
-    fn admit(&mut self) {
+    fn admit(&mut self, at: f64) {
         loop {
             let used: u64 = self.running.iter().map(Job::memory_tokens).sum();
-            let next = (0..self.waiting.len()).min_by_key(|index| self.waiting[*index].queue_key());
+            let next = (0..self.waiting.len())
+                .filter(|index| self.waiting[*index].ready_at <= at)
+                .min_by_key(|index| self.waiting[*index].queue_key());
             let Some(next) = next else {
                 return;
             };
--- a/crates/policy/tests/support/prompts.rs
+++ b/crates/policy/tests/support/prompts.rs
@@ -5,11 +5,12 @@
 
 use indexmap::IndexMap;
 use policy::placement::{
-    Capacity, Demand, InstanceSpec, Overload, Part, Placement, Placer, Ticket, Urgency,
+    Capacity, CopyDecision, CopyLink, Demand, InstanceSpec, Overload, Part, Placement, Placer,
+    PrefixCopy, Ticket, Urgency,
 };
 use rapidhash::v3::rapidhash_v3;
 use serde::Deserialize;
-use types::{InstanceId, Priority, TimeMs};
+use types::{InstanceId, Priority, TimeMs, ZoneName};
 
 use super::engine::{Engine, Job, TickEvents, Timing, MEMORY_TOKENS, SLOTS};
 
@@ -57,6 +58,14 @@
     /// Prompt tokens to prefill if every part is prefilled once.
     pub min_prefill_tokens: u64,
     pub prefilled_tokens: u64,
+    /// Copies that were requested, and those that a source could give.
+    pub copies_requested: u32,
+    pub copies_made: u32,
+    pub copied_tokens: u64,
+    /// Longest wait of a copy for earlier transfers on the links.
+    pub longest_link_wait_ms: f64,
+    /// Largest share of the replayed time in which one link was in use.
+    pub busiest_link_share: f64,
     /// Numbers of all requests and of those on time, by priority.
     pub by_priority: BTreeMap<u8, (u32, u32)>,
 }
@@ -79,8 +88,25 @@
     ticket: Ticket,
 }
 
+/// Links between the engines.
+#[derive(Clone, Copy, Debug)]
+pub struct Links {
+    pub kv_token_bytes: u64,
+    pub link_mbps: u64,
+    pub set_up_ms: f64,
+}
+
+/// Use of the link of one engine.
+#[derive(Clone, Copy, Debug, Default)]
+struct LinkUse {
+    free_at: f64,
+    busy_ms: f64,
+}
+
 pub struct Simulation {
     rule: Rule,
+    links: Option<Links>,
+    link_use: Vec<LinkUse>,
     engines: Vec<Engine>,
     placers: Vec<Placer>,
     /// Requests in flight, by number.
@@ -128,6 +154,8 @@
             .collect();
         Self {
             rule,
+            links: None,
+            link_use: vec![LinkUse::default(); engines],
             engines: (0..engines)
                 .map(|number| Engine::new(number, timing))
                 .collect(),
@@ -140,6 +168,50 @@
         }
     }
 
+    /// Connects the engines, which are in three zones. The placers know the
+    /// rate of the links only if `is_configured`.
+    pub fn with_links(mut self, links: Links, is_configured: bool) -> Self {
+        self.links = Some(links);
+        let rate = CopyLink::new(links.kv_token_bytes, links.link_mbps);
+        for placer in &mut self.placers {
+            let zones = (0..self.engines.len()).map(|number| (instance(number), zone(number)));
+            placer.set_copy_link(rate.filter(|_| is_configured), zones);
+        }
+        self
+    }
+
+    /// Starts the copy that a placement requests. Returns the time at which it
+    /// has arrived.
+    fn copy_prefix(&mut self, now: u64, to: usize, copy: &PrefixCopy, arrival: &Arrival) -> f64 {
+        self.outcome.copies_requested += 1;
+        let from = engine_number(&copy.source);
+        let is_missing = !self.engines[from].has_cached(arrival.subject);
+        let (Some(links), false) = (self.links, is_missing) else {
+            return 0.0;
+        };
+        if self.engines[to].has_cached(arrival.subject) {
+            return 0.0;
+        }
+        let distance = if zone(from) == zone(to) { 1.0 } else { 2.0 };
+        let tokens = f64::from(arrival.shared_tokens);
+        let transfer_ms =
+            tokens * links.kv_token_bytes as f64 * 8.0 / (links.link_mbps as f64 * 1_000.0);
+        let duration_ms = links.set_up_ms + transfer_ms * distance;
+        let free_at = self.link_use[from].free_at.max(self.link_use[to].free_at);
+        let starts_at = free_at.max(now as f64);
+        for engine in [from, to] {
+            self.link_use[engine].free_at = starts_at + duration_ms;
+            self.link_use[engine].busy_ms += duration_ms;
+        }
+        self.outcome.copies_made += 1;
+        self.outcome.copied_tokens += u64::from(arrival.shared_tokens);
+        let waited_ms = starts_at - now as f64;
+        self.outcome.longest_link_wait_ms = self.outcome.longest_link_wait_ms.max(waited_ms);
+        let arrives_at = starts_at + duration_ms;
+        self.engines[to].receive_copy(arrives_at, arrival.subject, arrival.shared_tokens);
+        arrives_at
+    }
+
     /// Replays a trace to its end, millisecond by millisecond.
     pub fn replay(mut self, trace: &[Arrival]) -> Outcome {
         let end = trace.last().map_or(0, |last| last.at_ms) + 20_000;
@@ -160,6 +232,9 @@
                 self.process_tick(now, tick);
             }
         }
+        let longest_busy_ms = self.link_use.iter().map(|link| link.busy_ms);
+        let trace_ms = trace.last().map_or(1, |last| last.at_ms) as f64;
+        self.outcome.busiest_link_share = longest_busy_ms.fold(0.0, f64::max) / trace_ms;
         self.outcome
     }
 
@@ -194,7 +269,11 @@
             ticket,
         };
         self.in_flight.insert(number, request);
-        self.engines[engine].send(Job::new(arrival, number));
+        let mut job = Job::new(arrival, number);
+        if let CopyDecision::Requested(copy) = &placement.prefix_copy {
+            job.ready_at = self.copy_prefix(now, engine, copy, arrival);
+        }
+        self.engines[engine].send(job);
     }
 
     /// Records a refusal. The caller retries once, at another entry.
@@ -288,6 +367,10 @@
     }
 }
 
+pub fn zone(number: usize) -> ZoneName {
+    ZoneName::from(format!("zone-{}", number % 3))
+}
+
 fn engine_number(instance: &InstanceId) -> usize {
     instance.as_str()[2..]
         .parse()
@@ -325,5 +408,6 @@
         cached_tokens: 0,
         home_rank: 0,
         in_flight: 0,
+        prefix_copy: CopyDecision::NotNeeded,
     }
 }
