Gateway: ask engines for copies of cached prefixes

Cause: the placer names the instance to copy from, but nothing reads the rate of the links from the configuration or tells the engine.

Change: `kv-token-bytes` and `link-mbps` of a service's engine become `UpstreamSpec::copy_link`; without both, or without a positive rate, no copy is requested. The address of the source goes through `UpstreamRequestMeta::copy_from` to the header codec, which alone knows the header's name. A caller's own header of that name is dropped. Event 5060 and counters of copies requested, tokens and refusals by reason.

Measured: platform suite `prefix_copies` (4 tests) and five decoding cases. Without the header written, 2 of the 4 fail; with the caller's header forwarded, 3.

--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -263,7 +263,13 @@
                 .iter()
                 .map(|member| instance_spec(member, memory_tokens))
                 .collect();
-            placers.entry(upstream).or_default().set_members(&specs);
+            let copy_link = spec.and_then(|spec| spec.copy_link);
+            let zones = members
+                .iter()
+                .map(|member| (member.instance.clone(), member.zone.clone()));
+            let placer = placers.entry(upstream).or_default();
+            placer.set_members(&specs);
+            placer.set_copy_link(copy_link, zones);
             view.usable += members.len();
             for member in members {
                 let incarnation = member.incarnation;
--- a/crates/gateway/src/attempt/log.rs
+++ b/crates/gateway/src/attempt/log.rs
@@ -1,6 +1,6 @@
 //! Log events and metrics for the attempts of a request.
 
-use policy::placement::{Demand, LaneSplit, Placement};
+use policy::placement::{CopyDecision, Demand, LaneSplit, Placement};
 use telemetry::{emit, events::GatewayEvent};
 use types::{InstanceId, UpstreamName};
 
@@ -32,6 +32,37 @@
         });
     }
 
+    /// Logs and counts the copy that the current attempt requests, or counts why
+    /// it requests none.
+    pub(super) fn log_prefix_copy(&self, placement: &Placement) {
+        let copy = match &placement.prefix_copy {
+            CopyDecision::NotNeeded => return,
+            CopyDecision::Refused(reason) => {
+                metrics::counter!("limpetgw_gateway_prefix_copies_refused_total", "reason" => reason.as_str())
+                    .increment(1);
+                return;
+            }
+            CopyDecision::Requested(copy) => copy,
+        };
+        emit(&GatewayEvent::PrefixCopyRequested {
+            request_id: self.request.request_id.clone(),
+            attempt: self.attempts,
+            instance: placement.instance.clone(),
+            source: copy.source.clone(),
+            tokens: copy.tokens,
+            expected_tokens: copy.expected_tokens,
+            transfer_ms: copy.transfer_ms as u64,
+        });
+        let purpose = match copy.expected_tokens {
+            0 => "precaution",
+            _ => "saving",
+        };
+        metrics::counter!("limpetgw_gateway_prefix_copies_requested_total", "purpose" => purpose)
+            .increment(1);
+        metrics::counter!("limpetgw_gateway_prefix_copy_tokens_total", "purpose" => purpose)
+            .increment(u64::from(copy.tokens));
+    }
+
     /// Logs and counts a failed attempt. `after_ms` is the time since sending,
     /// or since receipt of the request if a stream failed after its first event.
     pub(super) fn log_attempt_failed(
--- a/crates/gateway/src/attempt/receive.rs
+++ b/crates/gateway/src/attempt/receive.rs
@@ -6,7 +6,8 @@
 use futures_lite::FutureExt;
 use http::{Request as HttpRequest, Uri};
 use http_body_util::Full;
-use types::{ErrorCode, InstanceId, Verdict};
+use policy::placement::Placement;
+use types::{ErrorCode, Verdict};
 
 use super::{
     exchange::{Exchange, LoadGuard},
@@ -85,21 +86,24 @@
 }
 
 impl Session {
-    /// Builds the request for `instance`; a stream resumes after the last event
-    /// in `events`.
+    /// Builds the request for the instance of `placement`; a stream resumes after
+    /// the last event in `events`.
     pub(super) fn http_request(
         &self,
-        instance: &InstanceId,
+        placement: &Placement,
         events: &EventBuffer,
     ) -> Result<HttpRequest<Full<Bytes>>, Failure> {
         let request = &self.request;
         let remaining = self.remaining().saturating_sub(DEADLINE_MARGIN);
+        let copy = placement.prefix_copy.requested();
+        let view = self.app.view.load();
         let meta = UpstreamRequestMeta {
-            instance: instance.clone(),
+            instance: placement.instance.clone(),
             remaining: remaining.max(Duration::from_millis(1)),
             team: request.team.clone(),
             priority: request.priority,
             resume_after: events.last_id(),
+            copy_from: copy.and_then(|copy| view.addr(&copy.source).cloned()),
         };
         let target: Uri = request.target.parse().map_err(|_| {
             Failure::not_run(ErrorCode::MalformedRequest, "the path cannot be forwarded")
--- a/crates/gateway/src/attempt/session.rs
+++ b/crates/gateway/src/attempt/session.rs
@@ -197,8 +197,9 @@
                 unless_ended(&app.lifecycle, self.connect(), stopping).await?;
             self.attempts += 1;
             self.log_placed(&placement);
+            self.log_prefix_copy(&placement);
             let sent_at = self.app.now();
-            let http_request = self.http_request(&placement.instance, &events)?;
+            let http_request = self.http_request(&placement, &events)?;
             let attempt = self.receive(load_guard, connection, lease, http_request, &mut events);
             let attempt_error = match Box::pin(attempt).await {
                 Ok(received) => return Ok(received),
--- a/crates/gateway/src/header_codec.rs
+++ b/crates/gateway/src/header_codec.rs
@@ -44,6 +44,9 @@
     /// Id of the last event delivered, if the instance should resume the stream
     /// after it.
     pub resume_after: Option<u64>,
+    /// Address of an instance of the same upstream from which the instance
+    /// copies cached parts of the prompt, `IP:port`.
+    pub copy_from: Option<Arc<str>>,
 }
 
 /// Metadata decoded from the status and headers of an instance's response.
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use indexmap::IndexMap;
+use policy::placement::CopyLink;
 use types::{Priority, TeamName, UpstreamName};
 
 /// Whether a request may be sent again after a failed attempt.
@@ -75,6 +76,9 @@
     /// KV cache capacity of one instance, in tokens; `None` for a plain
     /// service.
     pub memory_tokens: Option<u64>,
+    /// Links over which the instances copy cached prefixes from each other;
+    /// `None` if they do not.
+    pub copy_link: Option<CopyLink>,
 }
 
 /// Teams that may send requests, indexed by API key.
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -326,5 +326,23 @@
             pause_ms: u64,
         } = "An instance turned a request away and wants no more for a time; it gets none.",
             "Investigate the instance if it happens often: it is short of resources.";
+        5060 Info PrefixCopyRequested {
+            /// Request id that the caller sent.
+            request_id: RequestId,
+            /// Number of the attempt, from 1.
+            attempt: u32,
+            /// Id of the chosen instance, which copies.
+            instance: InstanceId,
+            /// Id of the instance that is asked for the copy.
+            source: InstanceId,
+            /// Tokens that the source has, and the instance not, if the gateway's
+            /// assumptions about both are right.
+            tokens: u32,
+            /// Tokens that the placement expects not to be read because of the copy;
+            /// 0 for a precaution at the first home of the prompt.
+            expected_tokens: u32,
+            /// Predicted time until the copy has arrived, in milliseconds.
+            transfer_ms: u64,
+        } = "An attempt asks its instance to copy cached prompt parts from another one.", "Nothing.";
     }
 }
