--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -307,10 +307,14 @@
                 .iter()
                 .map(|member| instance_spec(member, memory_tokens))
                 .collect();
+            let copy_link = spec.and_then(|spec| spec.copy_link);
+            let zones = members
+                .iter()
+                .map(|member| (member.instance.clone(), member.zone.clone()));
             let placer = placers.entry(upstream);
-            placer
-                .or_insert_with(|| self.new_placer())
-                .set_members(&specs);
+            let placer = placer.or_insert_with(|| self.new_placer());
+            placer.set_members(&specs);
+            placer.set_copy_link(copy_link, zones);
             view.usable += members.len();
             for member in members {
                 let incarnation = member.incarnation;
--- a/crates/policy/src/placement/instance.rs
+++ b/crates/policy/src/placement/instance.rs
@@ -164,6 +164,22 @@
         self.in_flight
     }
 
+    /// Returns the number of prompt tokens in the shared parts that this entry has
+    /// sent here recently.
+    pub(super) fn sent_tokens(&self, now: TimeMs, demand: &Demand) -> u32 {
+        self.parts.cached_tokens(now, demand.shared())
+    }
+
+    /// Returns the share of the memory, from 0 to 1, that this entry's running
+    /// requests and the shared parts that it has sent here recently take.
+    pub(super) fn memory_share(&self) -> f64 {
+        let Capacity::Engine { memory_tokens, .. } = self.capacity else {
+            return 0.0;
+        };
+        let used_tokens = self.memory_tokens + self.parts.total_tokens() as f64;
+        (used_tokens / memory_tokens.max(1) as f64).min(1.0)
+    }
+
     /// Returns the number of prompt tokens that need no prefill here. The first
     /// home is assumed to have the shared parts cached even if this entry has
     /// not sent them there, because other entries have.
@@ -241,8 +257,7 @@
         }
         self.in_flight += 1;
         self.awaiting_first_event += 1;
-        let pending_prefill_tokens =
-            f64::from(demand.prompt_tokens.saturating_sub(placement.cached_tokens));
+        let pending_prefill_tokens = f64::from(placement.prefill_tokens(demand));
         let memory_tokens = f64::from(demand.prompt_tokens + demand.output_tokens / 2);
         self.pending_prefill_tokens += pending_prefill_tokens;
         self.memory_tokens += memory_tokens;
