Metering: one gateway reports the usage of all teams

Cause: every usage window is missed; nobody counts, fixes or sends.

Change: gateway::duties counts a request once when an instance has begun to run it, exchanges counts through the link or, where it does not carry them, through the gateways' records, fixes each window with a create-if-absent in usage-windows and only then sends it, oldest first. A call needs a permit of the lease, is dropped at the permit's end by the boot clock, and its connection discards what the kernel has not delivered. Settings come from the settings file; without platform_api nothing changes.

--- a/crates/coord/src/ticket_lease/machine.rs
+++ b/crates/coord/src/ticket_lease/machine.rs
@@ -18,6 +18,14 @@
 /// Interval between attempts after a failed call, in milliseconds.
 const RETRY_INTERVAL_MS: u64 = 250;
 
+/// Time without a renewal that counts after which a process gives its ticket up, in
+/// percent of the lease time. Permits end at about half of it.
+const GIVE_UP_PERCENT: u64 = 67;
+
+/// Time for which it does not contend then, in percent of the lease time, so that
+/// another process finds its ticket expired first.
+const GIVE_UP_PAUSE_PERCENT: u64 = 150;
+
 /// Action that the caller of the state machine has to take next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -79,10 +87,13 @@
 struct Owner {
     name: String,
     token: u64,
+    /// Revision of the ticket as listed last.
+    revision: u64,
     write: Option<Write>,
     /// Whether the older tickets are released or expired.
     is_holder: bool,
     has_held: bool,
+    created_at: TimeMs,
     /// Start of the last renewal that counts.
     valid_from: Option<TimeMs>,
     renew_at: TimeMs,
@@ -122,6 +133,9 @@
     /// Time before which no permit is given.
     permits_from: TimeMs,
     may_contend: bool,
+    /// Time before which this process creates no ticket, because it could not renew
+    /// the last one.
+    contend_from: TimeMs,
     /// Time by which this process contends later than the first in rank.
     stagger_ms: u64,
     read_interval_ms: u64,
@@ -153,6 +167,7 @@
             has_listed: false,
             permits_from: TimeMs(0),
             may_contend: true,
+            contend_from: TimeMs(0),
             stagger_ms: 0,
             read_interval_ms: READ_INTERVAL_MS,
             state: State::Follower,
@@ -176,6 +191,14 @@
         }
     }
 
+    /// Has a process without a ticket read the tickets next, because the holder was
+    /// heard to have given up its own.
+    pub fn expedite_read(&mut self, now: TimeMs) {
+        if matches!(self.state, State::Follower) {
+            self.read_at = now;
+        }
+    }
+
     /// Records up to which window all are reported; the next renewal stores it.
     pub fn set_reported_through(&mut self, window: u64) {
         self.reported_through = self.reported_through.max(Some(window));
@@ -195,6 +218,28 @@
         }
     }
 
+    /// Returns name and revision of the ticket while it gives permits, so that others
+    /// can be told.
+    pub fn announcement(&self, now: TimeMs) -> Option<(&str, u64)> {
+        let State::Owner(owner) = &self.state else {
+            return None;
+        };
+        self.permit(now)
+            .map(|_| (owner.name.as_str(), owner.revision))
+    }
+
+    /// Handles the announcement of a holder. It shows that its ticket was renewed, as
+    /// [`Self::on_activity`] does; a list must show whether it expired. `now` is the
+    /// time at which it was heard.
+    pub fn on_announced(&mut self, now: TimeMs, name: &str, revision: u64) {
+        let known = self.observed.get(name);
+        if known.is_none_or(|known| *known < revision) && self.has_listed {
+            self.observed.insert(name.to_owned(), revision);
+            // The announcement may be older than the last change that was read.
+            self.quiet_since = self.quiet_since.max(Some(now));
+        }
+    }
+
     /// Returns whether this process has a ticket, or may have one.
     pub fn has_ticket(&self) -> bool {
         !matches!(self.state, State::Follower)
@@ -218,7 +263,7 @@
     pub fn next(&self, now: TimeMs) -> Step {
         match &self.state {
             State::Follower if now < self.read_at => Step::WaitUntil(self.read_at),
-            State::Follower if self.may_contend && self.is_vacant(now) => Step::List,
+            State::Follower if self.contends(now) && self.is_vacant(now) => Step::List,
             State::Follower if self.has_listed => Step::Check,
             State::Follower => Step::List,
             State::Creating {
@@ -314,6 +359,7 @@
             WriteResult::Refused => {
                 owner.write = None;
                 owner.renew_at = now + RETRY_INTERVAL_MS;
+                self.give_up_if_stale(now);
             }
             WriteResult::OutcomeUnknown => self.read_at = now + RETRY_INTERVAL_MS,
         }
@@ -331,6 +377,7 @@
     /// Records that a list or check failed.
     pub fn on_read_failed(&mut self, now: TimeMs) {
         self.read_at = now + RETRY_INTERVAL_MS;
+        self.give_up_if_stale(now);
     }
 
     /// Handles changes of tickets, which may be stale: they can only show that a
@@ -382,9 +429,11 @@
                 self.state = State::Owner(Owner {
                     name: name.clone(),
                     token: own.order(),
+                    revision: own.revision,
                     write: None,
                     is_holder: false,
                     has_held: false,
+                    created_at: now,
                     valid_from: None,
                     renew_at: now,
                     is_leaving: !self.may_contend,
@@ -424,10 +473,11 @@
     /// Returns whether all other tickets have not changed for long enough that no
     /// owner can have a permit, or the newest one is released.
     fn is_vacant(&self, now: TimeMs) -> bool {
-        if self.is_released {
-            return true;
-        }
-        let expiry_ms = self.timing.duration_ms + self.timing.margin_ms + self.stagger_ms;
+        let lease_ms = match self.is_released {
+            true => 0,
+            false => self.timing.duration_ms + self.timing.margin_ms,
+        };
+        let expiry_ms = lease_ms + self.stagger_ms;
         self.quiet_since
             .is_some_and(|since| now.since(since) >= expiry_ms)
     }
@@ -467,7 +517,7 @@
     }
 
     fn contend_if_vacant(&mut self, now: TimeMs) {
-        if !self.may_contend || !self.is_vacant(now) {
+        if !self.contends(now) || !self.is_vacant(now) {
             return;
         }
         self.tickets += 1;
@@ -479,6 +529,25 @@
         self.read_at = now;
     }
 
+    fn contends(&self, now: TimeMs) -> bool {
+        self.may_contend && now >= self.contend_from
+    }
+
+    /// Gives up a ticket whose renewals do not count any more, for example because the
+    /// store applies the writes of this process late. Its late renewals would keep
+    /// others from the lease.
+    fn give_up_if_stale(&mut self, now: TimeMs) {
+        let State::Owner(owner) = &self.state else {
+            return;
+        };
+        let renewed_at = owner.valid_from.unwrap_or(owner.created_at);
+        if now.since(renewed_at) < self.timing.duration_ms * GIVE_UP_PERCENT / 100 {
+            return;
+        }
+        self.contend_from = now + self.timing.duration_ms * GIVE_UP_PAUSE_PERCENT / 100;
+        self.become_follower(now);
+    }
+
     /// Handles a list that contains the own ticket.
     fn on_own_listed(&mut self, now: TimeMs, own: &ListedTicket, others: &[&ListedTicket]) {
         let is_vacant = self.is_vacant_without_stagger(now);
@@ -486,6 +555,7 @@
         let State::Owner(owner) = &mut self.state else {
             return;
         };
+        owner.revision = own.revision;
         if newest_other > Some(owner.token) {
             // Released, so that the owner of the newer ticket need not wait.
             owner.is_leaving = true;
@@ -506,7 +576,7 @@
             }
         }
         if owner.is_leaving || owner.is_holder {
-            return;
+            return self.give_up_if_stale(now);
         }
         if !is_vacant {
             // Waits for the older tickets; the own one is renewed meanwhile.
--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -26,6 +26,7 @@
 use types::{InstanceId, TimeMs, UpstreamName};
 
 use crate::{
+    duties::Duties,
     header_codec::HeaderCodec,
     live::LiveSettings,
     peers::{PeerDirectory, PeerExchange},
@@ -95,6 +96,7 @@
     pub(crate) peer_directory: Arc<dyn PeerDirectory>,
     /// Link to other gateways, with its bootstrapping; `None` if not enabled.
     pub(crate) udp_link: Option<Arc<UdpLink>>,
+    pub(crate) duties: Duties,
     /// Wakes the maintenance after a change of the roster.
     pub(crate) maintenance_due: (Sender<()>, Receiver<()>),
     placers: Mutex<IndexMap<UpstreamName, Placer>>,
@@ -134,6 +136,7 @@
             peers: PeerExchange::default(),
             peer_directory,
             udp_link,
+            duties: Duties::default(),
             maintenance_due: smol::channel::bounded(1),
             placers: Mutex::default(),
             retry_budgets: Mutex::default(),
--- a/crates/gateway/src/attempt/receive.rs
+++ b/crates/gateway/src/attempt/receive.rs
@@ -194,6 +194,10 @@
                 retry_reserved: false,
             });
         }
+        if id_matches && matches!(self.request.route.response_mode, ResponseMode::Buffered) {
+            // Also if the body does not arrive: the instance has begun to run it.
+            self.on_begun();
+        }
         let is_success = (200..300).contains(&status);
         if is_success && (!meta.signed || meta.encoded || !id_matches) {
             return Err(AttemptError::failed(
@@ -260,6 +264,9 @@
                 None => return Err(AttemptError::failed("the response ended within an event")),
             }
         }
+        if events.count() > before {
+            self.on_begun();
+        }
         self.on_first_event(exchange);
         Ok(())
     }
--- a/crates/gateway/src/attempt/session.rs
+++ b/crates/gateway/src/attempt/session.rs
@@ -1,6 +1,12 @@
 //! State of one request across its attempts.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
+    time::Duration,
+};
 
 use http::HeaderMap;
 use policy::{
@@ -72,6 +78,8 @@
     pub(super) event_at_ms: u64,
     /// Longest time between two events, in milliseconds.
     pub(super) longest_pause_ms: u64,
+    /// Whether the request was counted as begun.
+    has_begun: AtomicBool,
 }
 
 impl Session {
@@ -88,6 +96,18 @@
             first_ms: 0,
             event_at_ms: 0,
             longest_pause_ms: 0,
+            has_begun: AtomicBool::new(false),
+        }
+    }
+
+    /// Counts the request for its team when an instance has begun to run it, unless
+    /// it was counted or continues a stream that was begun before.
+    pub(super) fn on_begun(&self) {
+        let Some(team) = &self.request.team else {
+            return;
+        };
+        if self.request.resume_after.is_none() && !self.has_begun.swap(true, Ordering::Relaxed) {
+            self.app.duties.on_begun(team);
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod app;
 mod attempt;
 mod crash_evidence;
+mod duties;
 mod failure;
 mod feed;
 mod feed_watcher;
@@ -27,6 +28,9 @@
 mod settings;
 mod upstream;
 
+pub use duties::{
+    DutyApi, DutyApiFactory, DutyCaller, DutyError, DutySettings, DutyStore, UsageRecord,
+};
 pub use feed::{Feed, FeedEntry, Listing, WatchResult};
 pub use header_codec::{HeaderCodec, RequestMeta, ResponseMeta, UpstreamRequestMeta};
 pub use live::{read_settings_file, FileSettings, LiveSettings, SettingsFileError};
--- a/crates/gateway/src/live.rs
+++ b/crates/gateway/src/live.rs
@@ -9,7 +9,7 @@
 use serde::Deserialize;
 use telemetry::{emit, events::GatewayEvent};
 
-use crate::{app::App, settings::RetryBound};
+use crate::{app::App, duties::DutySettings, settings::RetryBound};
 
 /// Interval at which the file is reloaded without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
@@ -34,6 +34,21 @@
     pub grace_s: Option<f64>,
     /// Time for which an instance that leaves takes requests, in milliseconds.
     pub drain_ms: Option<f64>,
+    /// Address of the platform's API for duties; without it there are none.
+    pub platform_api: Option<String>,
+    /// Names of the duties; unknown ones are ignored.
+    #[serde(default)]
+    pub duties: Vec<String>,
+    /// Whether the platform refuses calls with an outdated fencing token.
+    pub fence_checked: Option<bool>,
+    /// Duration of the lease of the duties, in milliseconds.
+    pub lease_ms: Option<f64>,
+    /// Time after a pause or a cut within which calls do not count, in milliseconds.
+    pub thaw_ms: Option<f64>,
+    /// Length of a usage window, in seconds.
+    pub usage_window_s: Option<f64>,
+    /// Time after the end of a window at which its report is due, in seconds.
+    pub usage_late_s: Option<f64>,
 }
 
 /// Reloadable settings in force.
@@ -95,6 +110,50 @@
     }
 }
 
+/// Name of the duty to report usage.
+const METERING: &str = "metering";
+
+impl FileSettings {
+    /// Returns the settings of the duties; `None` if there are none.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsFileError::OutOfRange`] if a value is out of range.
+    pub fn duties(&self) -> Result<Option<DutySettings>, SettingsFileError> {
+        let Some(platform_api) = &self.platform_api else {
+            return Ok(None);
+        };
+        let mut settings = DutySettings::new(platform_api.as_str().into());
+        settings.has_metering = self.duties.iter().any(|duty| duty == METERING);
+        settings.is_fence_checked = self.fence_checked.unwrap_or(false);
+        let ms = |value: f64| Duration::from_secs_f64(value / MS_PER_S);
+        if let Some(lease_ms) = validate_positive("lease_ms", self.lease_ms)? {
+            settings.lease = ms(lease_ms);
+        }
+        if let Some(thaw_ms) = validate("thaw_ms", self.thaw_ms)? {
+            settings.thaw = ms(thaw_ms);
+        }
+        if let Some(window_s) = validate_positive("usage_window_s", self.usage_window_s)? {
+            settings.usage_window = Duration::from_secs_f64(window_s);
+        }
+        if let Some(late_s) = validate_positive("usage_late_s", self.usage_late_s)? {
+            settings.usage_late = Duration::from_secs_f64(late_s);
+        }
+        Ok(Some(settings))
+    }
+}
+
+/// Validates a setting that must not be 0.
+fn validate_positive(
+    name: &'static str,
+    value: Option<f64>,
+) -> Result<Option<f64>, SettingsFileError> {
+    match value {
+        Some(value) if value <= 0.0 => Err(SettingsFileError::OutOfRange { name, value }),
+        value => validate(name, value),
+    }
+}
+
 fn validate(name: &'static str, value: Option<f64>) -> Result<Option<f64>, SettingsFileError> {
     match value {
         Some(value) if !(0.0..=SETTING_MAX).contains(&value) => {
@@ -126,9 +185,11 @@
         return;
     };
     let before = *app.live.load_full();
-    let read = read_settings_file(path).and_then(|file| app.settings.live.with_file(&file));
+    let read = read_settings_file(path)
+        .and_then(|file| Ok((app.settings.live.with_file(&file)?, file.duties()?)));
     let (changed, error) = match read {
-        Ok(live) => {
+        Ok((live, duties)) => {
+            app.duties.set_settings(duties, &app.settings.instance);
             app.live.store(Arc::new(live));
             (live != before, None)
         }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -18,7 +18,7 @@
 use store::{BoxFuture, StoreError};
 use types::InstanceId;
 
-use crate::feed::Feed;
+use crate::{duties::UsageRecord, feed::Feed};
 
 pub(crate) use link::start_link;
 pub(crate) use publish::publish_own_record;
@@ -36,12 +36,18 @@
     /// Where this run of the gateway receives frames; `None` without the link.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub endpoint: Option<PeerEndpoint>,
+    /// Usage of teams, as far as the link does not carry it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub usage: Option<UsageRecord>,
 }
 
 impl PeerReport {
     /// Returns whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
-        self.ends.is_empty() && self.limits.is_empty() && self.endpoint.is_none()
+        self.ends.is_empty()
+            && self.limits.is_empty()
+            && self.endpoint.is_none()
+            && self.usage.is_none()
     }
 }
 
--- a/crates/gateway/src/peers/publish.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -75,6 +75,7 @@
             ends: lock(&self.crash_log).own_evidence(),
             limits,
             endpoint: self.udp_link.as_ref().map(|link| link.endpoint()),
+            usage: self.duties.usage_record(),
         }
     }
 }
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -67,7 +67,7 @@
                 link.retain_records(has_record);
             }
         }
-        apply(&app, listing, &last_changes);
+        apply(&app, listing, is_snapshot, &last_changes);
         if is_snapshot {
             app.peers.has_listed.store(true, Ordering::Relaxed);
             app.peers.notify_changed();
@@ -81,9 +81,11 @@
 fn next_poll(app: &App, consistent_at_ms: &AtomicU64) -> Poll {
     let now = app.now();
     let has_ends = lock(&app.crash_log).is_active(now);
-    let is_active = has_ends || !lock(&app.named_limits).is_empty();
+    let reads_usage = app.duties.reads_records(app);
+    let is_active = has_ends || reads_usage || !lock(&app.named_limits).is_empty();
     let last_consistent_at = TimeMs(consistent_at_ms.load(Ordering::Relaxed));
-    let is_consistent = has_ends && now.since(last_consistent_at) >= CONSISTENT_READ_INTERVAL_MS;
+    let is_consistent =
+        (has_ends || reads_usage) && now.since(last_consistent_at) >= CONSISTENT_READ_INTERVAL_MS;
     if is_consistent {
         consistent_at_ms.store(now.0, Ordering::Relaxed);
     }
@@ -106,12 +108,21 @@
         .collect()
 }
 
-fn apply(app: &Arc<App>, listing: Listing<PeerRecord>, last_changes: &LastChanges) {
+fn apply(
+    app: &Arc<App>,
+    listing: Listing<PeerRecord>,
+    is_snapshot: bool,
+    last_changes: &LastChanges,
+) {
     let now = app.now();
     for entry in listing.entries {
         match entry {
             FeedEntry::Present(record) if record.gateway == app.settings.instance => {
                 app.update_crash_log(|log| log.adopt(now, &record.report.ends));
+                // What another run of this gateway has counted.
+                if let Some(usage) = &record.report.usage {
+                    app.duties.on_record(&record.gateway, usage, false);
+                }
                 if !app.peers.has_listed() {
                     let mut limits = lock(&app.named_limits);
                     limits.adopt(now, &record.report.limits);
@@ -124,6 +135,9 @@
             FeedEntry::Present(record) => {
                 app.update_crash_log(|log| log.merge(now, &record.report.ends));
                 apply_endpoint(app, &record);
+                if let Some(usage) = &record.report.usage {
+                    app.duties.on_record(&record.gateway, usage, !is_snapshot);
+                }
                 let limits = record.report.limits;
                 lock(&app.named_limits).set_claims(&record.gateway, limits);
                 lock(last_changes).insert(record.gateway, now);
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -17,6 +17,9 @@
 
 use crate::{
     app::App,
+    duties::{
+        detect_pauses, exchange_usage, flush_usage, perform_duties, DutyApiFactory, DutyStore,
+    },
     feed::Feed,
     guard::CallerGuardPolicy,
     header_codec::HeaderCodec,
@@ -54,6 +57,10 @@
     pub roster: Arc<dyn Feed<Member>>,
     /// Records that gateways exchange.
     pub peers: Arc<dyn PeerDirectory>,
+    /// Tickets of the lease of the duties, and fixed counts.
+    pub duty_store: Arc<dyn DutyStore>,
+    /// Creates the client for the platform's API of the duties.
+    pub duty_api: DutyApiFactory,
 }
 
 /// A gateway whose listeners accept connections.
@@ -119,6 +126,10 @@
     start_link(&app);
     async_global_executor::spawn(platform_sync::run_maintenance(app.clone())).detach();
     async_global_executor::spawn(live::reload_periodically(app.clone())).detach();
+    async_global_executor::spawn(detect_pauses(app.clone())).detach();
+    async_global_executor::spawn(exchange_usage(app.clone())).detach();
+    let duties = perform_duties(app.clone(), platform.duty_store, platform.duty_api);
+    async_global_executor::spawn(duties).detach();
     let callers = spawn(callers_socket, &app, callers_handler(app.clone()));
     let operator = spawn(operator_socket, &app, operator_handler(app.clone()));
     Ok(Running {
@@ -174,6 +185,7 @@
             let exit_after = grace.saturating_sub(GRACE_MARGIN);
             app.lifecycle.is_idle_by(drain_begun_at + exit_after).await;
         }
+        flush_usage(app).await;
         emit(&GatewayEvent::GatewayStopped {
             instance: settings.instance.clone(),
             in_flight: app.lifecycle.in_flight(),
--- a/crates/limpetgw/src/cli/gateway.rs
+++ b/crates/limpetgw/src/cli/gateway.rs
@@ -58,8 +58,8 @@
     #[arg(long, env = "LIMPETGW_BALANCER_LAG_MS", default_value_t = 2_500, value_parser = clap::value_parser!(u64).range(0..=600_000))]
     balancer_lag_ms: u64,
     /// JSON file with `retry_ratio`, `retry_allowance`, `retry_window_s`,
-    /// `grace_s` and `drain_ms`, whose values override the flags. It is reloaded on SIGHUP and
-    /// every two seconds.
+    /// `grace_s` and `drain_ms`, whose values override the flags, and with the settings
+    /// of the duties. It is reloaded on SIGHUP and every two seconds.
     #[arg(long, env = "LIMPETGW_CONFIG")]
     settings_file: Option<PathBuf>,
     /// Address (IP:port) of the link to other gateways, which they must be able
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -45,9 +45,20 @@
     /// Creates a client for the store at `addr` (`IP:port`) whose calls are
     /// limited to `rates`.
     pub fn new(addr: &str, rates: RateLimits) -> Self {
+        Self::with_connector(KeepaliveConnector::new(), addr, rates)
+    }
+
+    /// Creates a client whose calls do not arrive after they were abandoned, as far
+    /// as the kernel can ensure it: what was not acknowledged within `timeout` is
+    /// discarded, also while this process is paused.
+    pub fn without_late_delivery(addr: &str, rates: RateLimits, timeout: Duration) -> Self {
+        let connector = KeepaliveConnector::without_late_delivery(timeout);
+        Self::with_connector(connector, addr, rates)
+    }
+
+    fn with_connector(connector: KeepaliveConnector, addr: &str, rates: RateLimits) -> Self {
         Self {
-            http: Client::new(KeepaliveConnector::new())
-                .with_max_buffered_request_body(BUFFERED_BODY_MAX_BYTES),
+            http: Client::new(connector).with_max_buffered_request_body(BUFFERED_BODY_MAX_BYTES),
             addr: addr.into(),
             limiter: Arc::new(Limiter::new(rates)),
         }
--- a/crates/store/src/connector.rs
+++ b/crates/store/src/connector.rs
@@ -20,11 +20,45 @@
 
 /// [`ClientConfig`] with keep-alive probes.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct KeepaliveConnector(ClientConfig);
+pub(crate) struct KeepaliveConnector {
+    config: ClientConfig,
+    /// Time after which the kernel discards data that the peer has not
+    /// acknowledged. Closing discards it at once. `None` for the usual behaviour,
+    /// which delivers data also after a close.
+    unacknowledged_max: Option<Duration>,
+}
 
 impl KeepaliveConnector {
     pub(crate) fn new() -> Self {
-        Self(ClientConfig::default().with_nodelay(true))
+        Self {
+            config: ClientConfig::default().with_nodelay(true),
+            unacknowledged_max: None,
+        }
+    }
+
+    /// Creates a connector whose connections deliver nothing after they are closed,
+    /// nor later than `unacknowledged_max` after it was sent.
+    pub(crate) fn without_late_delivery(unacknowledged_max: Duration) -> Self {
+        Self {
+            unacknowledged_max: Some(unacknowledged_max),
+            ..Self::new()
+        }
+    }
+
+    fn configure(
+        &self,
+        transport: SmolTransport<TcpStream>,
+    ) -> io::Result<SmolTransport<TcpStream>> {
+        let transport = with_keepalive(transport)?;
+        let Some(unacknowledged_max) = self.unacknowledged_max else {
+            return Ok(transport);
+        };
+        let stream = transport.into_inner();
+        let timeout_ms = unacknowledged_max.as_millis() as u32;
+        sockopt::set_tcp_user_timeout(&stream, timeout_ms)?;
+        // A close with a reset discards what the kernel has not sent.
+        sockopt::set_socket_linger(&stream, Some(Duration::ZERO))?;
+        Ok(SmolTransport::from(stream))
     }
 }
 
@@ -34,19 +68,19 @@
     type Udp = <ClientConfig as Connector>::Udp;
 
     fn runtime(&self) -> Self::Runtime {
-        self.0.runtime()
+        self.config.runtime()
     }
 
     async fn connect(&self, url: &Url) -> io::Result<Self::Transport> {
-        with_keepalive(self.0.connect(url).await?)
+        self.configure(self.config.connect(url).await?)
     }
 
     async fn connect_to(&self, destination: Destination) -> io::Result<Self::Transport> {
-        with_keepalive(self.0.connect_to(destination).await?)
+        self.configure(self.config.connect_to(destination).await?)
     }
 
     async fn resolve(&self, host: &str, port: u16) -> io::Result<Vec<std::net::SocketAddr>> {
-        self.0.resolve(host, port).await
+        self.config.resolve(host, port).await
     }
 }
 
--- a/crates/store/src/limiter.rs
+++ b/crates/store/src/limiter.rs
@@ -32,6 +32,8 @@
     Check,
     /// Reads the instance list, or waits for a change of it.
     Instances,
+    /// Performs a duty for all gateways.
+    Duty,
 }
 
 impl CallKind {
@@ -44,11 +46,12 @@
             CallKind::Watch => "watch",
             CallKind::Check => "check",
             CallKind::Instances => "instances",
+            CallKind::Duty => "duty",
         }
     }
 
     fn is_write(self) -> bool {
-        matches!(self, CallKind::Put | CallKind::Delete)
+        matches!(self, CallKind::Put | CallKind::Delete | CallKind::Duty)
     }
 }
 
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -349,5 +349,55 @@
             /// Id of the other gateway.
             peer: InstanceId,
         } = "Another gateway has been silent for 30 s and has no record in the platform's store.", "Nothing.";
+        5065 Info DutiesAcquired {
+            /// Id of this process.
+            instance: InstanceId,
+            /// Fencing token of the lease.
+            token: u64,
+            /// Last window up to which all are known to be reported, 0 if unknown.
+            reported_through: u64,
+        } = "This gateway performs the duties of one gateway at a time from now on.", "Nothing; many in a minute mean that the store or the machines are disturbed.";
+        5066 Info DutiesLost {
+            /// Id of this process.
+            instance: InstanceId,
+            /// Fencing token of the lease that it had.
+            token: u64,
+            /// Whether it gave the lease up by itself.
+            released: bool,
+        } = "This gateway does not perform the duties any more.", "Nothing; another gateway takes over.";
+        5067 Info UsageFixed {
+            /// Window of the counts.
+            window: u64,
+            /// Number of teams with requests.
+            teams: usize,
+            /// Sum of the requests of all teams.
+            requests: u64,
+            /// Time since the end of the window, in milliseconds.
+            after_ms: u64,
+            /// Whether an earlier holder has fixed them.
+            by_other: bool,
+        } = "The usage of a window is fixed in the platform's store.", "Nothing.";
+        5068 Info UsageReported {
+            /// Window of the counts.
+            window: u64,
+            /// Fencing token of the call.
+            token: u64,
+            /// Time since the end of the window, in milliseconds.
+            after_ms: u64,
+        } = "The platform confirmed the usage of a window.", "Nothing.";
+        5069 Warn UsageNotReported {
+            /// Window of the counts.
+            window: u64,
+            /// Error of the store or of the platform's API.
+            reason: String,
+        } = "The usage of a window could not be fixed or sent; it is tried again.", "Check the connection to the platform's API and store if it happens often.";
+        5070 Error UsageAbandoned {
+            /// Window of the counts.
+            window: u64,
+        } = "The usage of a window was not reported within a minute and is given up.", "Follow the runbook for missing usage in OPERATIONS.md.";
+        5071 Info UsageTimeSettled {
+            /// Correction of the time of day at the start, in milliseconds.
+            correction_ms: i64,
+        } = "The time that usage windows follow is settled; it follows no steps of the clock.", "Set the clock of the machine if the correction is large.";
     }
 }
