--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -26,6 +26,7 @@
 use types::{InstanceId, TimeMs, UpstreamName};
 
 use crate::{
+    duties::Duties,
     header_codec::HeaderCodec,
     live::LiveSettings,
     load_exchange::{LoadExchange, LoadKeys},
@@ -98,6 +99,7 @@
     /// Link to other gateways, with its bootstrapping; `None` if not enabled.
     pub(crate) udp_link: Option<Arc<UdpLink>>,
     pub(crate) load_exchange: LoadExchange,
+    pub(crate) duties: Duties,
     /// Wakes the maintenance after a change of the roster.
     pub(crate) maintenance_due: (Sender<()>, Receiver<()>),
     placers: Mutex<IndexMap<UpstreamName, Placer>>,
@@ -138,6 +140,7 @@
             peer_directory,
             udp_link,
             load_exchange: LoadExchange::default(),
+            duties: Duties::default(),
             maintenance_due: smol::channel::bounded(1),
             placers: Mutex::default(),
             retry_budgets: Mutex::default(),
