--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -204,6 +204,7 @@
         let mut placer = Placer::default();
         if self.udp_link.is_some() {
             placer.count_peers();
+            placer.set_sees_fleet(self.load_exchange.sees_fleet());
         }
         placer
     }
--- a/crates/gateway/src/load_exchange/mod.rs
+++ b/crates/gateway/src/load_exchange/mod.rs
@@ -39,6 +39,14 @@
     peers: Mutex<PeerLoads>,
     /// Whether load of another gateway counts at this time.
     is_shared: AtomicBool,
+    /// Whether the load of all gateways is known.
+    sees_fleet: AtomicBool,
+}
+
+impl LoadExchange {
+    pub(crate) fn sees_fleet(&self) -> bool {
+        self.sees_fleet.load(Ordering::Relaxed)
+    }
 }
 
 /// Names of the instances and upstreams by the keys in reports.
@@ -96,7 +104,7 @@
     let mut next_at = app.now();
     loop {
         smol::Timer::after(REPORT_INTERVAL).await;
-        app.expire_loads();
+        app.expire_loads(link.peers().is_empty());
         let now = app.now();
         if now < next_at {
             continue;
@@ -154,14 +162,21 @@
         }
     }
 
-    fn expire_loads(&self) {
+    /// Removes expired loads. `is_alone` tells whether no other gateway is known.
+    fn expire_loads(&self, is_alone: bool) {
         let now = self.now();
         let mut peers = lock(&self.load_exchange.peers);
         let changed = peers.expire(now);
         self.apply_sums(&peers, changed);
         let is_shared = !peers.is_empty();
         drop(peers);
-        self.for_each_placer(|_, placer| placer.expire_peer_totals(now));
+        let sees_fleet = is_shared || is_alone;
+        let exchange = &self.load_exchange;
+        exchange.sees_fleet.store(sees_fleet, Ordering::Relaxed);
+        self.for_each_placer(|_, placer| {
+            placer.expire_peer_totals(now);
+            placer.set_sees_fleet(sees_fleet);
+        });
         if self
             .load_exchange
             .is_shared
--- a/crates/policy/src/placement/instance.rs
+++ b/crates/policy/src/placement/instance.rs
@@ -124,6 +124,11 @@
     /// Half-life of an observed lateness: about the time in which a queue of
     /// prompts clears.
     const LATENESS_HALF_LIFE_MS: f64 = 800.0;
+    /// Multiple of its target that an own request must have waited at an instance to
+    /// count as evidence while the load of other entries is not known. At the target
+    /// itself, prompts leave busy homes and are read again: 0.748 on time instead of
+    /// 0.765 with four entries (docs/design/shared-load.md).
+    const LONG_WAIT_TARGETS: f64 = 1.5;
     /// Back-off after the second consecutive failure; doubles with each further
     /// failure.
     const BACKOFF_MS: u64 = 250;
@@ -340,9 +345,16 @@
     }
 
     /// Returns the age of the oldest request here that an instance serves before
-    /// one like `demand` and that waits for its first event, in milliseconds.
+    /// one like `demand` and that waits for its first event, in milliseconds; 0 if it
+    /// is no evidence of the wait there.
     pub(super) fn oldest_wait_ms(&self, now: TimeMs, demand: &Demand) -> f64 {
-        self.ranked.oldest_wait_ms(now, rank_of(demand.priority))
+        let wait_ms = self.ranked.oldest_wait_ms(now, rank_of(demand.priority));
+        let is_evidence = self.ranked.counts_ranks()
+            || wait_ms >= Self::LONG_WAIT_TARGETS * f64::from(demand.target_ms);
+        match is_evidence {
+            true => wait_ms,
+            false => 0.0,
+        }
     }
 
     pub(super) fn on_failure(&mut self, now: TimeMs) {
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -134,8 +134,10 @@
     /// Lateness over all instances, per lane. Long prompts wait behind short
     /// ones, so the long lane may be late while the short one is on time.
     lane_lateness: ByLane<Lateness>,
-    /// Whether the load of other entries counts, and ranks with it.
+    /// Whether own waiting requests and the load of other entries count.
     counts_peers: bool,
+    /// Whether the load of all entries is known.
+    sees_fleet: bool,
     peer_totals: PeerTotals,
 }
 
@@ -157,6 +159,12 @@
     /// longer.
     const REDUNDANT_PREFILL_LATENESS_MS: f64 = 100.0;
 
+    /// Share of its target within which an idle instance serves a prompt, so that
+    /// it is not refused while others wait: the wait behind half a long prompt and
+    /// the time to read a common one. With 0.3 and more, entries that hear of each
+    /// other late admit too many (docs/design/shared-load.md).
+    const IDLE_TARGET_SHARE: f64 = 0.2;
+
     /// Weight of one observation in the lateness over all instances, which thus
     /// covers about twenty answers.
     const LATENESS_WEIGHT: f64 = 0.08;
@@ -190,9 +198,9 @@
                 .filter(|tracked| tracked.incarnation() == member.incarnation);
             let mut tracked = existing.unwrap_or_else(|| TrackedInstance::new(member));
             tracked.set_capacity(member.capacity);
-            if self.counts_peers {
-                tracked.ranked_mut().enable();
-            }
+            tracked
+                .ranked_mut()
+                .set_modes(self.counts_peers, self.sees_fleet);
             self.instances.insert(member.instance.clone(), tracked);
         }
         self.lanes.set_instances(self.instances.keys());
@@ -210,8 +218,14 @@
         match Lane::of(demand) {
             Lane::Short => None,
             Lane::Long => {
-                self.overload_control
-                    .overload(now, urgency, demand.target_ms, &self.peer_totals)
+                let overload = self.overload_control.overload(
+                    now,
+                    urgency,
+                    demand.target_ms,
+                    &self.peer_totals,
+                )?;
+                let can_serve = !self.peer_totals.is_empty() && self.has_idle_instance(now, demand);
+                (!can_serve).then_some(overload)
             }
         }
     }
@@ -236,10 +250,10 @@
         exclude: &[InstanceId],
         usable: impl Fn(&TrackedInstance) -> bool,
     ) -> Option<Placement> {
-        let lateness_ms = match self.counts_peers {
+        let lateness_ms = match self.sees_fleet {
             true => self
                 .overall_lateness_ms(now)
-                .max(self.mean_wait_ms(now, demand)),
+                .max(self.lane_wait_ms(now, demand)),
             false => self.overall_lateness_ms(now),
         };
         let excess_lateness_ms = (lateness_ms - Self::SPARE_CAPACITY_LATENESS_MS).max(0.0);
@@ -291,21 +305,63 @@
         best.map(|(_, placement)| placement)
     }
 
-    /// Returns the mean predicted wait of a prompt that is cached as a whole, over
-    /// all instances.
-    fn mean_wait_ms(&self, now: TimeMs, demand: &Demand) -> f64 {
-        let tracked = self.instances.values();
+    /// Returns whether a usable instance of the prompt's lane would serve it well
+    /// within its target, by the load of all entries. The queues of the upstream may
+    /// be long meanwhile if most of it waits at a few instances.
+    fn has_idle_instance(&self, now: TimeMs, demand: &Demand) -> bool {
+        let lane = Lane::of(demand);
+        let lane_lateness_ms = self.lane_lateness_ms(now, lane);
+        let limit_ms = Self::IDLE_TARGET_SHARE * f64::from(demand.target_ms);
+        let instances = self.instances.iter().enumerate();
+        let usable: Vec<(&InstanceId, &TrackedInstance)> = instances
+            .filter(|(index, (_, tracked))| {
+                tracked.is_usable(now) && self.lanes.is_own_lane(*index, lane)
+            })
+            .map(|(_, named)| named)
+            .collect();
+        let names = usable.iter().map(|(name, _)| (*name, true));
+        let ranks = home_ranks(names, demand.shared());
+        usable.iter().zip(ranks).any(|((_, tracked), home_rank)| {
+            let cached_tokens = tracked.cached_tokens(now, demand, home_rank);
+            let predicted_ms = tracked.predicted_ms(now, demand, cached_tokens, lane_lateness_ms);
+            predicted_ms.max(tracked.oldest_wait_ms(now, demand)) < limit_ms
+        })
+    }
+
+    /// Returns the mean predicted wait over the instances of the prompt's lane, as if
+    /// the prompt were cached there.
+    fn lane_wait_ms(&self, now: TimeMs, demand: &Demand) -> f64 {
+        let lane = Lane::of(demand);
+        let instances = self.instances.values().enumerate();
+        let own = instances.filter(|(index, _)| self.lanes.is_own_lane(*index, lane));
         let waits =
-            tracked.map(|tracked| tracked.predicted_ms(now, demand, demand.prompt_tokens, 0.0));
-        waits.sum::<f64>() / self.instances.len().max(1) as f64
+            own.map(|(_, tracked)| tracked.predicted_ms(now, demand, demand.prompt_tokens, 0.0));
+        let (sum, count) = waits.fold((0.0, 0), |(sum, count), wait| (sum + wait, count + 1));
+        sum / f64::from(count.max(1))
     }
 
-    /// Counts the load of other entries from now on, and the load at each instance
-    /// by rank.
+    /// Takes the own requests that wait at an instance as evidence of the wait there,
+    /// from now on, and counts the load of other entries where it is known.
     pub fn count_peers(&mut self) {
         self.counts_peers = true;
+        self.apply_modes();
+    }
+
+    /// Records whether the load of all entries is known: there are no others, or
+    /// they report it. Only then are waits predicted by rank and redundant prefill
+    /// weighed by the queues: the lateness of first events, which stands for the
+    /// load of the others, is not known by rank.
+    pub fn set_sees_fleet(&mut self, sees_fleet: bool) {
+        if self.sees_fleet != sees_fleet {
+            self.sees_fleet = sees_fleet;
+            self.apply_modes();
+        }
+    }
+
+    fn apply_modes(&mut self) {
+        let (counts_peers, sees_fleet) = (self.counts_peers, self.sees_fleet);
         for tracked in self.instances.values_mut() {
-            tracked.ranked_mut().enable();
+            tracked.ranked_mut().set_modes(counts_peers, sees_fleet);
         }
     }
 
--- a/crates/policy/src/placement/remote_load.rs
+++ b/crates/policy/src/placement/remote_load.rs
@@ -220,7 +220,8 @@
 #[derive(Debug)]
 pub(super) struct RankedLoad {
     key: InstanceKey,
-    is_enabled: bool,
+    counts_waiting: bool,
+    counts_ranks: bool,
     /// Rank, time of sending and unread tokens of each own request without a first
     /// event, in the order of sending.
     waiting: Vec<(usize, TimeMs, f64)>,
@@ -231,20 +232,26 @@
     pub(super) fn new(key: InstanceKey) -> Self {
         Self {
             key,
-            is_enabled: false,
+            counts_waiting: false,
+            counts_ranks: false,
             waiting: Vec::new(),
             peers: InstanceLoad::default(),
         }
     }
 
-    pub(super) fn enable(&mut self) {
-        self.is_enabled = true;
+    pub(super) fn set_modes(&mut self, counts_waiting: bool, counts_ranks: bool) {
+        self.counts_waiting = counts_waiting;
+        self.counts_ranks = counts_ranks;
     }
 
     pub(super) fn set_peers(&mut self, load: InstanceLoad) {
         self.peers = load;
     }
 
+    pub(super) fn counts_ranks(&self) -> bool {
+        self.counts_ranks
+    }
+
     pub(super) fn key(&self) -> InstanceKey {
         self.key
     }
@@ -266,9 +273,9 @@
     }
 
     /// Returns the unread tokens of all gateways that an engine reads before a
-    /// request of this rank; `None` if not enabled.
+    /// request of this rank; `None` if the load of all gateways is not known.
     pub(super) fn unread_ahead(&self, rank: usize) -> Option<f64> {
-        if !self.is_enabled {
+        if !self.counts_ranks {
             return None;
         }
         let ahead = self.waiting.iter().filter(|(other, ..)| *other <= rank);
@@ -282,7 +289,7 @@
         let mut waiting = self.waiting.iter();
         let oldest = waiting.find(|(other, ..)| *other <= rank);
         match oldest {
-            Some((_, sent_at, _)) if self.is_enabled => now.since(*sent_at) as f64,
+            Some((_, sent_at, _)) if self.counts_waiting => now.since(*sent_at) as f64,
             _ => 0.0,
         }
     }
@@ -387,6 +394,10 @@
             .retain(|_, known| now.since(known.arrived_at) < TOTALS_TTL_MS);
     }
 
+    pub(super) fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     pub(super) fn waiting_prompts(&self) -> u64 {
         self.waiting_prompts
     }
--- a/crates/policy/tests/support/prompts.rs
+++ b/crates/policy/tests/support/prompts.rs
@@ -176,8 +176,10 @@
     /// `exchange` is `None`.
     pub fn counting_peers(mut self, exchange: Option<Exchange>) -> Self {
         self.exchange = exchange;
+        let is_only = self.placers.len() == 1;
         for placer in &mut self.placers {
             placer.count_peers();
+            placer.set_sees_fleet(exchange.is_some() || is_only);
         }
         self.peer_loads = self.placers.iter().map(|_| PeerLoads::default()).collect();
         let specs = (0..self.engines.len()).map(instance_spec);
