--- a/crates/policy/tests/prefix_copies.rs
+++ b/crates/policy/tests/prefix_copies.rs
@@ -6,6 +6,8 @@
 
 mod support;
 
+use std::collections::BTreeMap;
+
 use policy::placement::{CopyDecision, CopyLink, Demand, InstanceSpec, Part, Placement, Placer};
 use rapidhash::v3::rapidhash_v3;
 use rstest::rstest;
@@ -281,24 +283,59 @@
     assert_eq!((&copy.source, copy.expected_tokens), (&replacement, 0));
 }
 
-/// Guards against links with more copies than they carry: this entry's copies at
-/// one instance are bounded, and each is shorter than reading the part.
+/// An instance in back-off is used if there are no others, but gives no copies.
 #[test]
-fn copies_in_progress_at_an_instance_are_bounded() {
-    let placements = send(&mut placer(link()), 300, 13_000);
+fn instances_in_backoff_give_no_copies() {
+    let mut placer = placer(link());
+    let home = send(&mut placer, 1, 13_000)[0].instance.clone();
+    for number in 0..10 {
+        placer.on_unreachable(TimeMs(100), &instance(number));
+    }
 
-    let mut counts = std::collections::BTreeMap::new();
-    for placement in &placements {
+    let placement = choose(&placer, 101, 13_000, &[home]);
+
+    assert_eq!(placement.prefix_copy.requested(), None);
+}
+
+/// Guards against links with more copies than they carry: this entry's copies at
+/// one instance are bounded and queue, and each is shorter than reading the part.
+#[rstest]
+#[case::slow_link(KINDS[0])]
+#[case::fast_link(KINDS[2])]
+fn copies_in_progress_at_an_instance_are_bounded(#[case] kind: Links) {
+    let link = CopyLink::new(kind.kv_token_bytes, kind.link_mbps);
+    let mut placer = placer(link);
+    let placements = (0..400).map(|number| {
+        let mut demand = demand(13_000);
+        demand.parts = [
+            Part {
+                id: number % 40,
+                ..demand.parts[0]
+            },
+            demand.parts[1],
+        ]
+        .into();
+        let placement = placer.choose(TimeMs(0), &demand, &[]);
+        let placement = placement.expect("placer should choose an instance");
+        let _ticket = placer.on_sent(TimeMs(0), &demand, &placement);
+        placement
+    });
+
+    let mut transfers: BTreeMap<InstanceId, Vec<f64>> = BTreeMap::new();
+    for placement in placements {
         let Some(copy) = placement.prefix_copy.requested() else {
             continue;
         };
         assert!(copy.transfer_ms < 13_000.0 / 56.0, "{copy:?}");
         for end in [&copy.source, &placement.instance] {
-            *counts.entry(end.clone()).or_insert(0) += 1;
+            let earlier = transfers.entry(end.clone()).or_default();
+            assert!(earlier.iter().all(|ends_ms| *ends_ms < copy.transfer_ms));
+            earlier.push(copy.transfer_ms);
         }
     }
-    assert!(!counts.is_empty());
-    assert!(counts.values().all(|count| *count <= 4), "{counts:?}");
+    let counts: Vec<usize> = transfers.values().map(Vec::len).collect();
+    assert!(counts.iter().any(|count| *count > 1), "{counts:?}");
+    assert!(counts.iter().all(|count| *count <= 4), "{counts:?}");
 }
 
 /// The set-up of a copy takes longer than reading a short part.
