Plain calls are drawn among instances of nearly the same load

Cause: entries with few calls each send all of them to the instance that is first in the list; with counts of others, all follow the same report, and calls of 100 ms have ended when it arrives.

Change: with the link, a call adds a drawn cost of up to 10 ms (two running calls at six slots) and counts the calls of its own entry only.

--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -202,8 +202,8 @@
 
     fn new_placer(&self) -> Placer {
         let mut placer = Placer::default();
-        if self.udp_link.is_some() {
-            placer.count_peers();
+        if let Some(link) = &self.udp_link {
+            placer.count_peers(link.endpoint().run);
             placer.set_sees_fleet(self.load_exchange.sees_fleet());
         }
         placer
--- a/crates/policy/src/placement/instance.rs
+++ b/crates/policy/src/placement/instance.rs
@@ -206,7 +206,8 @@
         let running = f64::from(self.in_flight) + peers.in_flight as f64;
         let expected_ms = match self.capacity {
             Capacity::Service { slots } => {
-                let rounds = running / f64::from(slots.max(1));
+                // Calls of others have ended when a report of them arrives.
+                let rounds = f64::from(self.in_flight) / f64::from(slots.max(1));
                 Self::SERVICE_REQUEST_MS * (1.0 + rounds)
             }
             Capacity::Engine {
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -23,6 +23,7 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
+use rapidhash::v3::rapidhash_v3;
 use types::{InstanceId, Priority, TimeMs};
 
 pub use instance::{Capacity, Ticket};
@@ -136,6 +137,10 @@
     lane_lateness: ByLane<Lateness>,
     /// Whether own waiting requests and the load of other entries count.
     counts_peers: bool,
+    /// Number that differs between entries, from which they draw.
+    salt: u64,
+    /// Requests sent, of which each has its own draw.
+    sent: u64,
     /// Whether the load of all entries is known.
     sees_fleet: bool,
     peer_totals: PeerTotals,
@@ -165,6 +170,10 @@
     /// other late admit too many (docs/design/shared-load.md).
     const IDLE_TARGET_SHARE: f64 = 0.2;
 
+    /// Range of the draw among plain instances: the cost of two running calls at an
+    /// instance of six slots.
+    const SPREAD_MS: f64 = 10.0;
+
     /// Weight of one observation in the lateness over all instances, which thus
     /// covers about twenty answers.
     const LATENESS_WEIGHT: f64 = 0.08;
@@ -289,6 +298,7 @@
             };
             let cost = predicted_ms.max(tracked.oldest_wait_ms(now, demand))
                 + redundant_prefill_weight * tracked.redundant_prefill_ms(demand, cached_tokens)
+                + self.spread_ms(instance, demand)
                 + Self::HOME_RANK_PENALTY_MS * home_rank.min(2) as f64
                 + other_lane_penalty_ms;
             if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
@@ -340,10 +350,26 @@
         sum / f64::from(count.max(1))
     }
 
+    /// Returns a cost that is drawn for each call to a plain service and instance.
+    /// Without it, entries with few calls send all of them to the instance that is
+    /// first in the list. The calls of other entries are not counted: they end before
+    /// a report of them arrives, and all entries would follow the same report.
+    fn spread_ms(&self, instance: &InstanceId, demand: &Demand) -> f64 {
+        if !self.counts_peers || !demand.parts.is_empty() {
+            return 0.0;
+        }
+        let seed = [self.salt.to_le_bytes(), self.sent.to_le_bytes()].concat();
+        let draw = rapidhash_v3(&[&seed, instance.as_str().as_bytes()].concat());
+        Self::SPREAD_MS * draw as f64 / u64::MAX as f64
+    }
+
     /// Takes the own requests that wait at an instance as evidence of the wait there,
     /// from now on, and counts the load of other entries where it is known.
-    pub fn count_peers(&mut self) {
+    /// Calls to plain services draw among instances of nearly the same load; `salt`
+    /// must differ between entries.
+    pub fn count_peers(&mut self, salt: u64) {
         self.counts_peers = true;
+        self.salt = salt;
         self.apply_modes();
     }
 
@@ -417,6 +443,7 @@
     /// Records that a request was sent as placed. The caller passes the ticket
     /// to [`Placer::on_end`] when the request ends.
     pub fn on_sent(&mut self, now: TimeMs, demand: &Demand, placement: &Placement) -> Ticket {
+        self.sent += 1;
         if !demand.parts.is_empty() {
             self.lanes.record_prompt(now, demand);
         }
--- a/crates/policy/tests/shared_load.rs
+++ b/crates/policy/tests/shared_load.rs
@@ -6,10 +6,14 @@
 
 mod support;
 
+use policy::placement::{
+    Capacity, Demand, InstanceKey, InstanceSpec, LoadReport, PeerLoads, Placement, Placer, Ticket,
+};
 use rapidhash::v3::rapidhash_v3;
 use rstest::rstest;
 use support::engine::BLOCKING_PREFILL;
-use support::prompts::{Arrival, Exchange, Outcome, Rule, Simulation};
+use support::prompts::{instance_spec, Arrival, Exchange, Outcome, Rule, Simulation};
+use types::TimeMs;
 
 const ENGINES: usize = 41;
 const SPEEDS: [f64; 4] = [0.55, 1.2, 1.2, 1.2];
@@ -243,3 +247,85 @@
     assert!(mediums >= 10 && starved(&before) >= 10);
     assert_eq!(starved(&after), 0);
 }
+
+#[derive(Clone, Copy, PartialEq)]
+enum CallRule {
+    Before,
+    Exchange,
+    /// Any instance, drawn evenly.
+    Random,
+}
+
+/// Places calls of 100 ms on four plain instances of six slots, 120 per second by 22
+/// entries, and returns how many found all slots of their instance taken.
+fn calls_beyond_slots(rule: CallRule) -> usize {
+    const CALL_MS: u64 = 100;
+    let specs = [0, 1, 2, 3].map(|number| InstanceSpec {
+        capacity: Capacity::Service { slots: 6 },
+        ..instance_spec(number)
+    });
+    let mut placers: Vec<Placer> = (0..22).map(|_| Placer::default()).collect();
+    let mut peers: Vec<PeerLoads> = (0..22).map(|_| PeerLoads::default()).collect();
+    for (number, placer) in placers.iter_mut().enumerate() {
+        placer.set_members(&specs);
+        if rule == CallRule::Exchange {
+            placer.count_peers(number as u64);
+            placer.set_sees_fleet(true);
+        }
+    }
+    let mut running: Vec<(u64, usize, Placement, Ticket)> = Vec::new();
+    let mut beyond = 0;
+    for now in 0..10_000 {
+        for (_, entry, placement, ticket) in running.extract_if(.., |(at, ..)| *at + CALL_MS <= now)
+        {
+            placers[entry].on_end(&placement.instance, ticket);
+        }
+        let sender = (now % 220 / 10) as usize;
+        if rule == CallRule::Exchange && now % 10 == 0 {
+            let report = LoadReport {
+                number: now,
+                range: (0, u32::MAX),
+                loads: placers[sender].own_loads().collect(),
+            };
+            for receiver in (0..22).filter(|receiver| *receiver != sender) {
+                let name = format!("entry-{sender}").into();
+                peers[receiver].apply(TimeMs(now), &name, 1, &report);
+                for spec in &specs {
+                    let key = InstanceKey::new(&spec.instance, spec.incarnation);
+                    let load = peers[receiver].sum(key);
+                    placers[receiver].set_peer_load(&spec.instance, load);
+                }
+            }
+        }
+        if draw(now, 7, 1_000) < 120 {
+            let entry = draw(now, 8, 22) as usize;
+            let demand = Demand {
+                target_ms: 200,
+                ..Demand::default()
+            };
+            let placed = placers[entry].choose(TimeMs(now), &demand, &[]);
+            let mut placement = placed.expect("an instance");
+            if rule == CallRule::Random {
+                placement.instance = specs[draw(now, 9, 4) as usize].instance.clone();
+            }
+            let same = running
+                .iter()
+                .filter(|(_, _, other, _)| other.instance == placement.instance);
+            beyond += usize::from(same.count() >= 6);
+            let ticket = placers[entry].on_sent(TimeMs(now), &demand, &placement);
+            running.push((now, entry, placement, ticket));
+        }
+    }
+    beyond
+}
+
+/// Guards against entries that all send their calls to the instance that is first in
+/// the list (before), or that was the least loaded one in the last reports.
+#[test]
+fn calls_to_plain_services_are_spread_over_the_instances() {
+    let [before, after, random] =
+        [CallRule::Before, CallRule::Exchange, CallRule::Random].map(calls_beyond_slots);
+
+    println!("calls beyond the slots: {before} before, {after} after, {random} at random");
+    assert!(after <= random, "{after} of {random}");
+}
--- a/crates/policy/tests/support/prompts.rs
+++ b/crates/policy/tests/support/prompts.rs
@@ -177,8 +177,8 @@
     pub fn counting_peers(mut self, exchange: Option<Exchange>) -> Self {
         self.exchange = exchange;
         let is_only = self.placers.len() == 1;
-        for placer in &mut self.placers {
-            placer.count_peers();
+        for (number, placer) in self.placers.iter_mut().enumerate() {
+            placer.count_peers(number as u64);
             placer.set_sees_fleet(exchange.is_some() || is_only);
         }
         self.peer_loads = self.placers.iter().map(|_| PeerLoads::default()).collect();
