Learn the speed of engines and the concurrency of plain instances

Cause: predictions assumed 56 prompt tokens per millisecond for every engine and 30 ms for every plain call. An engine of speed 0.55 needs more than twice the time of one of speed 1.2, and some plain instances slow down at half of their slots.

Change: placement::capacity learns per instance the pause between events (best of a window), the prefill rate (fastest of eight first events) and the service time by concurrency, relative to the median of the upstream, to which estimates with little evidence shrink. Prefill rate and time to the first event are fitted per upstream. Values within a factor of 1.2 of the median count as equal.

--- a/crates/policy/src/placement/instance.rs
+++ b/crates/policy/src/placement/instance.rs
@@ -4,6 +4,7 @@
 
 use super::{
     cache::CachedParts,
+    capacity::{InstanceCapacity, UpstreamCapacity},
     lanes::{ByLane, Lane},
     lateness::Lateness,
     Demand, InstanceSpec, Placement,
@@ -44,6 +45,18 @@
     pause_target_ms: u32,
     is_tracked: bool,
     prefill_finished: bool,
+    /// Tokens of the prompt that are certainly not cached: its own part.
+    uncached_tokens: u32,
+    /// Whether no other request of this entry awaited its first event at the
+    /// instance when this one was sent.
+    is_only_waiting: bool,
+    /// Requests of this entry in flight at the instance when this one was sent,
+    /// including it.
+    concurrency: u32,
+    /// Whether the pauses between events show the engine's speed.
+    is_undisturbed: bool,
+    /// Last pause between two events; 0 before the second one.
+    gap_ms: u64,
 }
 
 impl Ticket {
@@ -90,6 +103,7 @@
     memory_tokens: f64,
     lateness: ByLane<Lateness>,
     parts: CachedParts,
+    learned: InstanceCapacity,
     failures: u32,
     backoff_until: TimeMs,
     full_until: TimeMs,
@@ -102,17 +116,13 @@
 }
 
 impl TrackedInstance {
-    /// Approximate prefill rate of an engine, as the users specify it for their
-    /// engines.
-    const PREFILL_TOKENS_PER_MS: f64 = 56.0;
-    /// Time from the last prefilled token to the first event: set-up and a few
-    /// steps of an idle engine.
-    const FIRST_EVENT_MS: f64 = 30.0;
     /// Delay that each running request adds to the first event of a new one,
     /// since it lengthens each of the few engine steps before that event.
     const RUNNING_REQUEST_MS: f64 = 0.8;
-    /// Approximate duration of a request to a plain service.
-    const SERVICE_REQUEST_MS: f64 = 30.0;
+    /// Cost of exceeding the learned limit of a plain instance, as a multiple of
+    /// its service time. Larger than the differences that load makes below the
+    /// limit, so an instance below its limit is preferred.
+    const OVER_LIMIT_FACTOR: f64 = 4.0;
     /// Wait when memory or slots are exhausted: about the time until a running
     /// request ends.
     const MEMORY_WAIT_MS: f64 = 700.0;
@@ -139,6 +149,7 @@
             memory_tokens: 0.0,
             lateness: ByLane::default(),
             parts: CachedParts::default(),
+            learned: InstanceCapacity::default(),
             failures: 0,
             backoff_until: TimeMs(0),
             full_until: TimeMs(0),
@@ -177,7 +188,8 @@
     /// because the home has the parts cached.
     pub(super) fn redundant_prefill_ms(&self, demand: &Demand, cached_tokens: u32) -> f64 {
         let shared = demand.shared_tokens();
-        f64::from(shared.saturating_sub(cached_tokens)) / Self::PREFILL_TOKENS_PER_MS
+        f64::from(shared.saturating_sub(cached_tokens))
+            / self.learned.rates().redundant_prefill_tokens_per_ms()
     }
 
     /// Predicts the time until the first event of a request sent now, in
@@ -194,10 +206,11 @@
         lane_lateness_ms: f64,
     ) -> f64 {
         let running = f64::from(self.in_flight);
+        let rates = self.learned.rates();
         let expected_ms = match self.capacity {
             Capacity::Service { slots } => {
                 let rounds = running / f64::from(slots.max(1));
-                Self::SERVICE_REQUEST_MS * (1.0 + rounds)
+                rates.service_ms * (1.0 + rounds)
             }
             Capacity::Engine {
                 slots,
@@ -205,7 +218,7 @@
             } => {
                 let prefill_tokens = f64::from(demand.prompt_tokens.saturating_sub(cached_tokens));
                 let prefill_ms =
-                    (self.pending_prefill_tokens + prefill_tokens) / Self::PREFILL_TOKENS_PER_MS;
+                    (self.pending_prefill_tokens + prefill_tokens) / rates.prefill_tokens_per_ms;
                 let needed_tokens = f64::from(demand.prompt_tokens + demand.output_tokens / 2);
                 let memory_excess =
                     (self.memory_tokens + needed_tokens) / memory_tokens.max(1) as f64 - 1.0;
@@ -216,7 +229,7 @@
                 } else {
                     0.0
                 };
-                Self::FIRST_EVENT_MS + prefill_ms + Self::RUNNING_REQUEST_MS * running + wait_ms
+                rates.first_event_ms + prefill_ms + Self::RUNNING_REQUEST_MS * running + wait_ms
             }
         };
         expected_ms + self.lateness_ms(now, Lane::of(demand), lane_lateness_ms)
@@ -232,6 +245,7 @@
         if self.awaiting_first_event == 0 {
             self.awaiting_since = now;
         }
+        let is_only_waiting = self.awaiting_first_event == 0;
         self.in_flight += 1;
         self.awaiting_first_event += 1;
         let pending_prefill_tokens =
@@ -253,6 +267,11 @@
             pause_target_ms: demand.pause_target_ms,
             is_tracked: true,
             prefill_finished: false,
+            uncached_tokens: demand.parts.last().map_or(0, |part| part.tokens),
+            is_only_waiting,
+            concurrency: self.in_flight,
+            is_undisturbed: false,
+            gap_ms: 0,
         }
     }
 
@@ -283,6 +302,70 @@
         Some(sample_ms)
     }
 
+    /// Records in `upstream` and for this instance what a first event shows of
+    /// its capacity. Must precede [`Self::on_first_event`].
+    pub(super) fn learn_from_first_event(
+        &mut self,
+        now: TimeMs,
+        ticket: &mut Ticket,
+        upstream: &mut UpstreamCapacity,
+    ) {
+        if !self.is_current(ticket) || ticket.prefill_finished || !upstream.is_enabled() {
+            return;
+        }
+        let waited_ms = now.since(ticket.sent_at) as f64;
+        match self.capacity {
+            Capacity::Engine { .. } if !ticket.is_only_waiting => {}
+            Capacity::Engine { .. } => {
+                let tokens = f64::from(ticket.uncached_tokens);
+                ticket.is_undisturbed =
+                    upstream.on_first_event(now, &mut self.learned, tokens, waited_ms);
+            }
+            Capacity::Service { slots } => {
+                self.learned
+                    .on_service_response(now, slots, ticket.concurrency, waited_ms);
+            }
+        }
+    }
+
+    /// Records what the pause before an event shows of the step time. Must
+    /// precede [`Ticket::end_pause`].
+    pub(super) fn learn_from_next_event(&mut self, now: TimeMs, ticket: &mut Ticket) {
+        if !self.is_current(ticket) || !ticket.is_undisturbed {
+            return;
+        }
+        let gap_ms = now.since(ticket.event_at);
+        self.learned
+            .on_event_gap(now, gap_ms as f64, ticket.gap_ms as f64);
+        ticket.gap_ms = gap_ms;
+    }
+
+    /// Records what a refusal for lack of capacity shows of a plain instance.
+    pub(super) fn learn_from_refusal(&mut self, now: TimeMs) {
+        if let Capacity::Service { slots } = self.capacity {
+            self.learned.on_refused(now, slots, self.in_flight);
+        }
+    }
+
+    pub(super) fn learned(&self) -> &InstanceCapacity {
+        &self.learned
+    }
+
+    pub(super) fn learned_mut(&mut self) -> &mut InstanceCapacity {
+        &mut self.learned
+    }
+
+    /// Returns the cost of exceeding the learned limit of concurrent requests,
+    /// in milliseconds; 0 below it and for engines.
+    pub(super) fn over_limit_penalty_ms(&self) -> f64 {
+        match (self.capacity, self.learned.learned().concurrency_limit) {
+            (Capacity::Service { .. }, Some(limit)) if self.in_flight >= limit => {
+                Self::OVER_LIMIT_FACTOR * self.learned.rates().service_ms
+            }
+            _ => 0.0,
+        }
+    }
+
     pub(super) fn on_activity(&mut self, now: TimeMs) {
         self.last_activity_at = now;
         self.unreachable = false;
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -13,6 +13,7 @@
 //! the delay of first events beyond their prediction.
 
 mod cache;
+mod capacity;
 mod home;
 mod instance;
 mod lanes;
@@ -24,10 +25,12 @@
 use indexmap::IndexMap;
 use types::{InstanceId, TimeMs};
 
+pub use capacity::{CapacityChange, LearnedCapacity};
 pub use instance::{Capacity, Ticket};
 pub use lanes::LaneSplit;
 pub use overload::{Overload, Urgency};
 
+use capacity::UpstreamCapacity;
 use home::home_ranks;
 use instance::TrackedInstance;
 use lanes::{ByLane, Lane, Lanes};
@@ -126,6 +129,8 @@
     /// Lateness over all instances, per lane. Long prompts wait behind short
     /// ones, so the long lane may be late while the short one is on time.
     lane_lateness: ByLane<Lateness>,
+    /// What the instances' responses show of their capacity.
+    learned: UpstreamCapacity,
 }
 
 impl Placer {
@@ -256,7 +261,8 @@
             let cost = predicted_ms
                 + redundant_prefill_weight * tracked.redundant_prefill_ms(demand, cached_tokens)
                 + Self::HOME_RANK_PENALTY_MS * home_rank.min(2) as f64
-                + other_lane_penalty_ms;
+                + other_lane_penalty_ms
+                + tracked.over_limit_penalty_ms();
             if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
                 let placement = Placement {
                     instance: instance.clone(),
@@ -277,12 +283,38 @@
         self.lanes.split()
     }
 
+    /// Enables or disables learning of the instances' capacity; enabled by
+    /// default. Without it, all instances count as equal.
+    pub fn set_capacity_learning(&mut self, is_enabled: bool) {
+        self.learned.set_enabled(is_enabled);
+    }
+
+    /// Returns the learned capacity of an instance; `None` if it is no member.
+    pub fn learned_capacity(&self, instance: &InstanceId) -> Option<LearnedCapacity> {
+        let tracked = self.instances.get(instance)?;
+        Some(tracked.learned().learned())
+    }
+
+    /// Returns the instances whose learned capacity has changed by more than a
+    /// fifth since they were last returned; each at most once per five seconds.
+    pub fn take_capacity_changes(&mut self, now: TimeMs) -> Vec<CapacityChange> {
+        self.instances
+            .iter_mut()
+            .filter_map(|(instance, tracked)| {
+                capacity::take_change(now, instance, tracked.learned_mut())
+            })
+            .collect()
+    }
+
     /// Records that a request was sent as placed. The caller passes the ticket
     /// to [`Placer::on_end`] when the request ends.
     pub fn on_sent(&mut self, now: TimeMs, demand: &Demand, placement: &Placement) -> Ticket {
         if !demand.parts.is_empty() {
             self.lanes.record_prompt(now, demand);
         }
+        let instances = self.instances.values_mut();
+        self.learned
+            .update(now, instances.map(TrackedInstance::learned_mut));
         let lateness_ms = self.lane_lateness_ms(now, Lane::of(demand));
         let Some(tracked) = self.instances.get_mut(&placement.instance) else {
             return Ticket::default();
@@ -302,7 +334,10 @@
         }
         let before_ms = self.lane_lateness_ms(now, lane);
         let tracked = self.instances.get_mut(instance);
-        let sample_ms = tracked.and_then(|tracked| tracked.on_first_event(now, ticket, before_ms));
+        let sample_ms = tracked.and_then(|tracked| {
+            tracked.learn_from_first_event(now, ticket, &mut self.learned);
+            tracked.on_first_event(now, ticket, before_ms)
+        });
         let Some(sample_ms) = sample_ms else {
             return;
         };
@@ -325,6 +360,7 @@
             return;
         };
         tracked.on_activity(now);
+        tracked.learn_from_next_event(now, ticket);
         let pause_share = ticket.end_pause(now);
         if ticket.lane() == Lane::Short && pause_share > 0.0 {
             self.lanes.record_pause(index, pause_share);
@@ -353,6 +389,9 @@
     pub fn on_full(&mut self, now: TimeMs, instance: &InstanceId) {
         if let Some(tracked) = self.instances.get_mut(instance) {
             tracked.on_full(now);
+            if self.learned.is_enabled() {
+                tracked.learn_from_refusal(now);
+            }
         }
     }
 
--- a/crates/policy/tests/support/engine.rs
+++ b/crates/policy/tests/support/engine.rs
@@ -25,6 +25,44 @@
     /// Percentage of the intervals of [`NOISE_INTERVAL_MS`] in which a noisy
     /// neighbour slows the engine down.
     noise_percent: u64,
+    /// Factor by which all of the engine's work is faster.
+    speed: f64,
+    /// Time from the end of the prefill to the first event if the engine
+    /// generates nothing meanwhile and the entry sees the event only then.
+    /// `None`: the entry sees it when the prefill ends.
+    first_event_ms: Option<f64>,
+}
+
+impl Timing {
+    pub fn with_speed(self, speed: f64) -> Self {
+        Self { speed, ..self }
+    }
+
+    pub fn speed(&self) -> f64 {
+        self.speed
+    }
+
+    pub fn with_first_event_ms(self, first_event_ms: f64) -> Self {
+        Self {
+            first_event_ms: Some(first_event_ms),
+            ..self
+        }
+    }
+
+    pub fn with_chunk_tokens(self, chunk_tokens: u64) -> Self {
+        Self {
+            chunk_tokens,
+            ..self
+        }
+    }
+
+    pub fn with_step(self, step_ms: f64, step_per_request_ms: f64) -> Self {
+        Self {
+            step_ms,
+            step_per_request_ms,
+            ..self
+        }
+    }
 }
 
 /// Timing that the users specify for their engines, whose streams pause during
@@ -35,6 +73,8 @@
     step_ms: 3.79,
     step_per_request_ms: 0.0893,
     noise_percent: 15,
+    speed: 1.0,
+    first_event_ms: None,
 };
 
 /// Timing of engines whose streams are not delayed by prefill.
@@ -44,6 +84,8 @@
     step_ms: 1.0,
     step_per_request_ms: 0.0,
     noise_percent: 0,
+    speed: 1.0,
+    first_event_ms: None,
 };
 
 /// Time from the end of the step that completes a prefill to the first event.
@@ -67,6 +109,7 @@
     pub number: usize,
     remaining_prefill_tokens: u64,
     generated: u32,
+    first_event_seen: bool,
     event_at: f64,
     /// Time from the caller's first attempt to the first event, once it is
     /// known.
@@ -109,6 +152,7 @@
             number,
             remaining_prefill_tokens: 0,
             generated: 0,
+            first_event_seen: false,
             event_at: 0.0,
             first_ms: None,
             longest_pause_ms: 0.0,
@@ -187,11 +231,21 @@
                 self.cached.shift_remove(&job.arrival.subject);
                 self.cached
                     .insert(job.arrival.subject, job.arrival.shared_tokens);
-                job.event_at = at + FIRST_EVENT_MS;
+                job.event_at = at + self.timing.first_event_ms.unwrap_or(FIRST_EVENT_MS);
                 job.first_ms = Some(job.event_at - job.arrival.at_ms as f64);
-                tick.first_events.push(job.number);
+                if self.timing.first_event_ms.is_none() {
+                    job.first_event_seen = true;
+                    tick.first_events.push(job.number);
+                }
                 continue;
             }
+            if !job.first_event_seen {
+                if at < job.event_at {
+                    continue;
+                }
+                job.first_event_seen = true;
+                tick.first_events.push(job.number);
+            }
             job.generated += 1;
             if job.generated.is_multiple_of(EVENT_TOKENS) {
                 job.longest_pause_ms = job.longest_pause_ms.max(at - job.event_at);
@@ -265,7 +319,7 @@
             true => NOISE_FACTOR,
             false => 1.0,
         };
-        self.step_ends_at = at + step_ms * factor;
+        self.step_ends_at = at + step_ms * factor / timing.speed;
     }
 
     fn has_noisy_neighbour(&self, at: f64) -> bool {
--- a/crates/policy/tests/support/prompts.rs
+++ b/crates/policy/tests/support/prompts.rs
@@ -82,7 +82,7 @@
 pub struct Simulation {
     rule: Rule,
     engines: Vec<Engine>,
-    placers: Vec<Placer>,
+    pub placers: Vec<Placer>,
     /// Requests in flight, by number.
     in_flight: IndexMap<usize, InFlightRequest>,
     /// Refused requests, with the time of their retry.
@@ -118,7 +118,12 @@
 
 impl Simulation {
     pub fn new(rule: Rule, engines: usize, timing: Timing, entries: usize) -> Self {
-        let members: Vec<InstanceSpec> = (0..engines).map(instance_spec).collect();
+        Self::with_timings(rule, &vec![timing; engines], entries)
+    }
+
+    /// Returns a simulation of one engine for each timing.
+    pub fn with_timings(rule: Rule, timings: &[Timing], entries: usize) -> Self {
+        let members: Vec<InstanceSpec> = (0..timings.len()).map(instance_spec).collect();
         let placers = (0..entries)
             .map(|_| {
                 let mut placer = Placer::default();
@@ -128,8 +133,10 @@
             .collect();
         Self {
             rule,
-            engines: (0..engines)
-                .map(|number| Engine::new(number, timing))
+            engines: timings
+                .iter()
+                .enumerate()
+                .map(|(number, timing)| Engine::new(number, *timing))
                 .collect(),
             placers,
             in_flight: IndexMap::new(),
@@ -142,6 +149,12 @@
 
     /// Replays a trace to its end, millisecond by millisecond.
     pub fn replay(mut self, trace: &[Arrival]) -> Outcome {
+        self.run(trace);
+        self.outcome
+    }
+
+    /// Replays a trace like [`Self::replay`] and keeps the placers.
+    pub fn run(&mut self, trace: &[Arrival]) {
         let end = trace.last().map_or(0, |last| last.at_ms) + 20_000;
         self.outcome.min_prefill_tokens = min_prefill_tokens(trace);
         let mut arrivals = trace.iter().enumerate().peekable();
@@ -160,7 +173,6 @@
                 self.process_tick(now, tick);
             }
         }
-        self.outcome
     }
 
     fn place(&mut self, now: u64, number: usize, arrival: &Arrival) {
