Log and export the learned capacity of instances

Cause: operators could not see which instances a gateway considers slow, and could not turn the learning off.

The test now requires reports only while the estimate moves, and the right value in the last one.

--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -181,7 +181,14 @@
         change: impl FnOnce(&mut Placer) -> T,
     ) -> T {
         let mut placers = lock(&self.placers);
-        change(placers.entry(upstream.clone()).or_default())
+        let placer = placers.entry(upstream.clone());
+        change(placer.or_insert_with(|| self.new_placer()))
+    }
+
+    fn new_placer(&self) -> Placer {
+        let mut placer = Placer::default();
+        placer.set_capacity_learning(self.settings.learn_capacity);
+        placer
     }
 
     /// Runs `change` on the retry budget of an upstream, which is created on
@@ -263,7 +270,10 @@
                 .iter()
                 .map(|member| instance_spec(member, memory_tokens))
                 .collect();
-            placers.entry(upstream).or_default().set_members(&specs);
+            let placer = placers.entry(upstream);
+            placer
+                .or_insert_with(|| self.new_placer())
+                .set_members(&specs);
             view.usable += members.len();
             for member in members {
                 let incarnation = member.incarnation;
--- a/crates/gateway/src/attempt/log.rs
+++ b/crates/gateway/src/attempt/log.rs
@@ -1,6 +1,6 @@
 //! Log events and metrics for the attempts of a request.
 
-use policy::placement::{Demand, LaneSplit, Placement};
+use policy::placement::{CapacityChange, Demand, LaneSplit, LearnedCapacity, Placement};
 use telemetry::{emit, events::GatewayEvent};
 use types::{InstanceId, UpstreamName};
 
@@ -119,6 +119,27 @@
     });
 }
 
+/// Logs a change of an instance's learned capacity and updates its gauges.
+pub(super) fn log_capacity_change(upstream: &UpstreamName, change: &CapacityChange) {
+    let percent = |capacity: &LearnedCapacity| (capacity.speed * 100.0).round() as u32;
+    let limit = |capacity: &LearnedCapacity| capacity.concurrency_limit.unwrap_or(0);
+    emit(&GatewayEvent::InstanceCapacityChanged {
+        upstream: upstream.clone(),
+        instance: change.instance.clone(),
+        speed_percent: percent(&change.after),
+        speed_percent_before: percent(&change.before),
+        concurrency_limit: limit(&change.after),
+        concurrency_limit_before: limit(&change.before),
+    });
+    let labels = [
+        ("upstream", upstream.as_str().to_string()),
+        ("instance", change.instance.as_str().to_string()),
+    ];
+    metrics::gauge!("limpetgw_instance_capacity", &labels).set(change.after.speed);
+    metrics::gauge!("limpetgw_instance_concurrency_limit", &labels)
+        .set(f64::from(limit(&change.after)));
+}
+
 /// Formats the ids of the parts that other prompts may share, in order.
 fn part_ids(demand: &Demand) -> String {
     let ids = demand.shared().iter().map(|part| format!("{:x}", part.id));
--- a/crates/gateway/src/attempt/session.rs
+++ b/crates/gateway/src/attempt/session.rs
@@ -13,7 +13,7 @@
 use super::{
     exchange::{Exchange, LoadGuard},
     failover::ATTEMPT_TIME_MIN,
-    log::log_lane_split,
+    log::{log_capacity_change, log_lane_split},
     receive::{AttemptError, InstanceFault, Progress, Received},
 };
 use crate::{
@@ -250,9 +250,10 @@
                 })?;
                 let before = placer.lane_split();
                 let ticket = placer.on_sent(now, &self.request.demand, &placement);
-                Some((placement, ticket, before, placer.lane_split()))
+                let changes = placer.take_capacity_changes(now);
+                Some((placement, ticket, before, placer.lane_split(), changes))
             });
-            let Some((placement, ticket, before, after)) = placed else {
+            let Some((placement, ticket, before, after, capacity_changes)) = placed else {
                 match unavailable.reopens_at {
                     Some(at) if self.may_wait_until(at) => {
                         smol::Timer::after(Duration::from_millis(at.since(now))).await;
@@ -265,6 +266,9 @@
             if before.short_instances != after.short_instances {
                 log_lane_split(&upstream, &before, &after);
             }
+            for change in &capacity_changes {
+                log_capacity_change(&upstream, change);
+            }
             self.app.on_placed(&placement);
             let instance = placement.instance.clone();
             let load_guard =
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -38,4 +38,8 @@
     /// Time for which the balancer may still open connections after `/readyz`
     /// has started to report not ready.
     pub balancer_lag: Duration,
+    /// Whether the capacity of instances is learned from their responses.
+    /// Without it, all instances of an upstream count as equal.
+    #[builder(default = true)]
+    pub learn_capacity: bool,
 }
--- a/crates/limpetgw/src/cli/gateway.rs
+++ b/crates/limpetgw/src/cli/gateway.rs
@@ -56,6 +56,10 @@
     /// started to report not ready, in milliseconds.
     #[arg(long, env = "LIMPETGW_BALANCER_LAG_MS", default_value_t = 2_500, value_parser = clap::value_parser!(u64).range(0..=600_000))]
     balancer_lag_ms: u64,
+    /// Treat all instances of an upstream as equally fast instead of learning
+    /// their capacity from responses.
+    #[arg(long, env = "LIMPETGW_FIXED_CAPACITY")]
+    fixed_capacity: bool,
     /// JSON file with `retry_ratio`, `retry_allowance`, `retry_window_s`,
     /// `grace_s` and `drain_ms`, whose values override the flags. It is reloaded on SIGHUP and
     /// every two seconds.
@@ -92,6 +96,7 @@
             })
             .maybe_file(self.settings_file.clone())
             .balancer_lag(Duration::from_millis(self.balancer_lag_ms))
+            .learn_capacity(!self.fixed_capacity)
             .build();
         self.process.start(telemetry::LogOutput::Stdout);
         let result = gateway::run(settings, platform::adapter(&store_addr)).await;
--- a/crates/policy/src/placement/capacity/mod.rs
+++ b/crates/policy/src/placement/capacity/mod.rs
@@ -204,6 +204,8 @@
 pub(super) struct UpstreamCapacity {
     prefill: PrefillFit,
     updated_at: TimeMs,
+    /// Whether there was an update since changes were last reported.
+    has_update: bool,
     is_enabled: bool,
 }
 
@@ -212,6 +214,7 @@
         Self {
             prefill: PrefillFit::new(PREFILL_TOKENS_PER_MS, FIRST_EVENT_MS),
             updated_at: TimeMs(0),
+            has_update: false,
             is_enabled: true,
         }
     }
@@ -226,6 +229,11 @@
         self.is_enabled
     }
 
+    /// Returns whether there was an update since the last call.
+    pub(super) fn take_update(&mut self) -> bool {
+        std::mem::take(&mut self.has_update)
+    }
+
     /// Records a first event, `waited_ms` after a prompt was sent of which at
     /// least `tokens` were not cached. Returns whether the pauses of the stream
     /// show the engine's speed.
@@ -262,6 +270,7 @@
             return;
         }
         self.updated_at = now;
+        self.has_update = true;
         let mut instances: Vec<&mut InstanceCapacity> = instances.collect();
         let gap_ms = median(instances.iter().filter_map(|one| one.event_gap.get()));
         let rate = median(instances.iter().filter_map(|one| one.best_prefill_rate()));
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -298,6 +298,9 @@
     /// Returns the instances whose learned capacity has changed by more than a
     /// fifth since they were last returned; each at most once per five seconds.
     pub fn take_capacity_changes(&mut self, now: TimeMs) -> Vec<CapacityChange> {
+        if !self.learned.take_update() {
+            return Vec::new();
+        }
         self.instances
             .iter_mut()
             .filter_map(|(instance, tracked)| {
--- a/crates/policy/tests/capacity.rs
+++ b/crates/policy/tests/capacity.rs
@@ -489,3 +489,37 @@
     }
     assert!(share(&equal_with) >= share(&equal_without) - 0.01);
 }
+
+/// A slow-down and a recovery are reported while the estimate follows them, and
+/// nothing is reported while it is stable. Guards against a log line for each
+/// update.
+#[test]
+fn only_changes_of_capacity_are_reported() {
+    let mut streams = streams(4);
+    let mut reports = Vec::new();
+    for second in 0..60 {
+        let is_slow = (20..40).contains(&second);
+        streams.run(
+            4,
+            1,
+            |engine, _| if engine == 0 && is_slow { 32 } else { 16 },
+        );
+        let changes = streams.placer.take_capacity_changes(TimeMs(streams.now));
+        reports.extend(changes.into_iter().map(|change| (second, change)));
+    }
+
+    assert!(reports
+        .iter()
+        .all(|(_, change)| change.instance == instance(0)));
+    let seconds: Vec<u64> = reports.iter().map(|(second, _)| *second).collect();
+    let is_following = |second: &u64| (20..30).contains(second) || (40..50).contains(second);
+    assert!(seconds.iter().all(is_following), "{seconds:?}");
+    let after = |range: std::ops::Range<u64>| {
+        let mut in_range = reports.iter().filter(|(second, _)| range.contains(second));
+        in_range
+            .next_back()
+            .map_or(0.0, |(_, change)| change.after.speed)
+    };
+    assert!((0.4..=0.6).contains(&after(20..30)), "{reports:?}");
+    assert!((0.9..=1.1).contains(&after(40..50)), "{reports:?}");
+}
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -326,5 +326,21 @@
             pause_ms: u64,
         } = "An instance turned a request away and wants no more for a time; it gets none.",
             "Investigate the instance if it happens often: it is short of resources.";
+        5055 Info InstanceCapacityChanged {
+            /// Name of the upstream.
+            upstream: UpstreamName,
+            /// Id of the instance.
+            instance: InstanceId,
+            /// Learned speed in percent of the median of the upstream's instances.
+            speed_percent: u32,
+            /// Previous value of `speed_percent`.
+            speed_percent_before: u32,
+            /// Concurrent requests of this gateway beyond which others are preferred; 0
+            /// if only the instance's slots limit them.
+            concurrency_limit: u32,
+            /// Previous value of `concurrency_limit`.
+            concurrency_limit_before: u32,
+        } = "The capacity that this gateway learned for an instance has changed by more than a fifth.",
+            "Investigate the instance if it stays slow although its machine is as fast as the others.";
     }
 }
