--- a/crates/policy/src/placement/capacity/mod.rs
+++ b/crates/policy/src/placement/capacity/mod.rs
@@ -31,7 +31,7 @@
 const SERVICE_REQUEST_MS: f64 = 30.0;
 /// Evidence, in observed bins, at which an instance's own observations weigh as
 /// much as the median of the upstream.
-const PRIOR_EVIDENCE: f64 = 4.0;
+const PRIOR_EVIDENCE: f64 = 3.0;
 /// Evidence from pauses, in bins, at which first events count half.
 const GAP_EVIDENCE: f64 = 3.0;
 /// Number of first events of which the fastest one counts.
--- a/crates/policy/tests/capacity.rs
+++ b/crates/policy/tests/capacity.rs
@@ -132,51 +132,56 @@
     );
 }
 
-/// Guards against predictions that assume one prefill rate: requests waited at
-/// slow engines while faster ones had room.
-#[rstest]
-fn unequal_engines_serve_more_on_time_with_learned_speeds(
-    #[values(1, 22)] entries: usize,
-    #[values(150, 250, 400)] per_s: u64,
-) {
-    let timings = timings(&[0.55, 1.2, 1.2, 1.2], 41, 16.0);
-    let trace = trace(per_s, 40, entries);
+/// Engines of one deployment: speeds in rotation, duration of a step, its part
+/// per request, chunk of a prefill and time to the first event after it.
+type Site = (&'static [f64], f64, f64, u64, f64);
 
-    let with = simulate(&timings, entries, &trace, true);
-    let without = simulate(&timings, entries, &trace, false);
+const UNEQUAL: &[f64] = &[0.55, 1.2, 1.2, 1.2];
+const A_THIRD_FASTER: &[f64] = &[1.0, 1.0, 1.3];
+const EQUAL: &[f64] = &[1.0];
 
-    let name = format!("unequal, {entries} entries, {per_s}/s");
-    print(&name, true, &with.outcome);
-    print(&name, false, &without.outcome);
-    print_errors(&with.placers[0], &timings);
-    match entries {
-        // One gateway sees all queues and adapts to them.
-        1 => assert!(with.outcome.on_time_share() >= without.outcome.on_time_share() - 0.01),
-        _ => assert!(with.outcome.on_time > without.outcome.on_time),
-    }
-}
-
-/// Placement on equal engines stays as it is without learning.
+/// Guards against predictions that assume one prefill rate: requests waited at
+/// slow engines while faster ones had room. Equal engines serve as many on time
+/// as without learning; 0.01 is the noise of a replay.
 #[rstest]
-fn equal_engines_serve_as_many_on_time_as_without_learning(
+#[case::unequal((UNEQUAL, 3.79, 0.0893, 2_048, 16.0))]
+#[case::unequal_slow_steps((UNEQUAL, 6.6, 0.17, 2_048, 120.0))]
+#[case::unequal_fast_steps((UNEQUAL, 3.7, 0.02, 1_024, 1.0))]
+#[case::a_third_faster((A_THIRD_FASTER, 3.79, 0.0893, 2_048, 16.0))]
+#[case::equal_first_event_early((EQUAL, 3.79, 0.0893, 2_048, 1.0))]
+#[case::equal((EQUAL, 3.79, 0.0893, 2_048, 16.0))]
+#[case::equal_first_event_late((EQUAL, 3.79, 0.0893, 2_048, 120.0))]
+#[case::equal_slow_steps((EQUAL, 6.6, 0.17, 1_024, 120.0))]
+fn engines_serve_as_many_on_time_with_learned_speeds(
+    #[case] site: Site,
     #[values(1, 22)] entries: usize,
     #[values(150, 250, 400)] per_s: u64,
-    #[values(1.0, 16.0, 120.0)] first_event_ms: f64,
 ) {
-    let timings = timings(&[1.0], 41, first_event_ms);
+    let (speeds, step_ms, step_per_request_ms, chunk_tokens, first_event_ms) = site;
+    let timings: Vec<Timing> = timings(speeds, 41, first_event_ms)
+        .into_iter()
+        .map(|timing| {
+            timing
+                .with_step(step_ms, step_per_request_ms)
+                .with_chunk_tokens(chunk_tokens)
+        })
+        .collect();
     let trace = trace(per_s, 40, entries);
 
     let with = simulate(&timings, entries, &trace, true);
     let without = simulate(&timings, entries, &trace, false);
 
-    let name = format!("equal, {entries} entries, {per_s}/s, first event {first_event_ms}");
+    let name = format!("{site:?}, {entries} entries, {per_s}/s");
     print(&name, true, &with.outcome);
     print(&name, false, &without.outcome);
     print_errors(&with.placers[0], &timings);
-    assert!(with.outcome.on_time_share() >= without.outcome.on_time_share() - 0.01);
+    match speeds == UNEQUAL && entries > 1 {
+        true => assert!(with.outcome.on_time > without.outcome.on_time),
+        false => assert!(with.outcome.on_time_share() >= without.outcome.on_time_share() - 0.01),
+    }
 }
 
-/// A stream whose events the test sends, and the state of the virtual engines.
+/// Streams whose events the test sends to a placer.
 struct Streams {
     placer: Placer,
     now: u64,
