--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -205,6 +205,7 @@
 
     fn new_placer(&self) -> Placer {
         let mut placer = Placer::default();
+        placer.set_capacity_learning(self.settings.learn_capacity);
         if let Some(link) = &self.udp_link {
             placer.count_peers(link.endpoint().run);
             placer.set_sees_fleet(self.load_exchange.sees_fleet());
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -44,4 +44,8 @@
     /// Share of a processor core that this process has, in thousandths.
     #[builder(default = 1_000)]
     pub strength: u32,
+    /// Whether the capacity of instances is learned from their responses.
+    /// Without it, all instances of an upstream count as equal.
+    #[builder(default = true)]
+    pub learn_capacity: bool,
 }
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -13,6 +13,7 @@
 //! the delay of first events beyond their prediction.
 
 mod cache;
+mod capacity;
 mod fetch;
 mod home;
 mod instance;
@@ -27,6 +28,7 @@
 use rapidhash::v3::rapidhash_v3;
 use types::{InstanceId, Priority, TimeMs};
 
+pub use capacity::{CapacityChange, LearnedCapacity};
 pub use fetch::{CopyDecision, CopyLink, CopyRefusal, PrefixCopy};
 pub use instance::{Capacity, Ticket};
 pub use lanes::{LaneSplit, LaneTotals};
@@ -36,6 +38,7 @@
     VALUE_TTL_MS,
 };
 
+use capacity::UpstreamCapacity;
 use fetch::Copies;
 use home::home_ranks;
 use instance::TrackedInstance;
@@ -158,6 +161,8 @@
     /// Whether the load of all entries is known.
     sees_fleet: bool,
     peer_totals: PeerTotals,
+    /// What the instances' responses show of their capacity.
+    learned: UpstreamCapacity,
 }
 
 impl Placer {
@@ -321,7 +326,8 @@
                 + redundant_prefill_weight * redundant_ms
                 + self.spread_ms(instance, demand)
                 + Self::HOME_RANK_PENALTY_MS * home_rank.min(2) as f64
-                + other_lane_penalty_ms;
+                + other_lane_penalty_ms
+                + tracked.over_limit_penalty_ms();
             if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
                 let placement = Placement {
                     instance: instance.clone(),
@@ -462,6 +468,32 @@
         self.lanes.split()
     }
 
+    /// Enables or disables learning of the instances' capacity; enabled by
+    /// default. Without it, all instances count as equal.
+    pub fn set_capacity_learning(&mut self, is_enabled: bool) {
+        self.learned.set_enabled(is_enabled);
+    }
+
+    /// Returns the learned capacity of an instance; `None` if it is no member.
+    pub fn learned_capacity(&self, instance: &InstanceId) -> Option<LearnedCapacity> {
+        let tracked = self.instances.get(instance)?;
+        Some(tracked.learned().learned())
+    }
+
+    /// Returns the instances whose learned capacity has changed by more than a
+    /// fifth since they were last returned; each at most once per five seconds.
+    pub fn take_capacity_changes(&mut self, now: TimeMs) -> Vec<CapacityChange> {
+        if !self.learned.take_update() {
+            return Vec::new();
+        }
+        self.instances
+            .iter_mut()
+            .filter_map(|(instance, tracked)| {
+                capacity::take_change(now, instance, tracked.learned_mut())
+            })
+            .collect()
+    }
+
     /// Records that a request was sent as placed. The caller passes the ticket
     /// to [`Placer::on_end`] when the request ends.
     pub fn on_sent(&mut self, now: TimeMs, demand: &Demand, placement: &Placement) -> Ticket {
@@ -469,6 +501,9 @@
         if !demand.parts.is_empty() {
             self.lanes.record_prompt(now, demand);
         }
+        let instances = self.instances.values_mut();
+        self.learned
+            .update(now, instances.map(TrackedInstance::learned_mut));
         let lateness_ms = self.lane_lateness_ms(now, Lane::of(demand));
         if let Some(copy) = placement.prefix_copy.requested() {
             self.copies.on_requested(now, &placement.instance, copy);
@@ -491,7 +526,10 @@
         }
         let before_ms = self.lane_lateness_ms(now, lane);
         let tracked = self.instances.get_mut(instance);
-        let sample_ms = tracked.and_then(|tracked| tracked.on_first_event(now, ticket, before_ms));
+        let sample_ms = tracked.and_then(|tracked| {
+            tracked.learn_from_first_event(now, ticket, &mut self.learned);
+            tracked.on_first_event(now, ticket, before_ms)
+        });
         let Some(sample_ms) = sample_ms else {
             return;
         };
@@ -514,6 +552,7 @@
             return;
         };
         tracked.on_activity(now);
+        tracked.learn_from_next_event(now, ticket);
         let pause_share = ticket.end_pause(now);
         if ticket.lane() == Lane::Short && pause_share > 0.0 {
             self.lanes.record_pause(index, pause_share);
@@ -542,6 +581,9 @@
     pub fn on_full(&mut self, now: TimeMs, instance: &InstanceId) {
         if let Some(tracked) = self.instances.get_mut(instance) {
             tracked.on_full(now);
+            if self.learned.is_enabled() {
+                tracked.learn_from_refusal(now);
+            }
         }
     }
 
--- a/crates/policy/tests/support/prompts.rs
+++ b/crates/policy/tests/support/prompts.rs
@@ -122,7 +122,7 @@
     links: Option<Links>,
     link_use: Vec<LinkUse>,
     engines: Vec<Engine>,
-    placers: Vec<Placer>,
+    pub placers: Vec<Placer>,
     /// Requests in flight, by number.
     in_flight: IndexMap<usize, InFlightRequest>,
     /// Refused requests, with the time of their retry.
@@ -163,7 +163,12 @@
 
 impl Simulation {
     pub fn new(rule: Rule, engines: usize, timing: Timing, entries: usize) -> Self {
-        let members: Vec<InstanceSpec> = (0..engines).map(instance_spec).collect();
+        Self::with_timings(rule, &vec![timing; engines], entries)
+    }
+
+    /// Returns a simulation of one engine for each timing.
+    pub fn with_timings(rule: Rule, timings: &[Timing], entries: usize) -> Self {
+        let members: Vec<InstanceSpec> = (0..timings.len()).map(instance_spec).collect();
         let placers = (0..entries)
             .map(|_| {
                 let mut placer = Placer::default();
@@ -174,9 +179,11 @@
         Self {
             rule,
             links: None,
-            link_use: vec![LinkUse::default(); engines],
-            engines: (0..engines)
-                .map(|number| Engine::new(number, timing))
+            link_use: vec![LinkUse::default(); timings.len()],
+            engines: timings
+                .iter()
+                .enumerate()
+                .map(|(number, timing)| Engine::new(number, *timing))
                 .collect(),
             placers,
             in_flight: IndexMap::new(),
@@ -320,6 +327,12 @@
 
     /// Replays a trace to its end, millisecond by millisecond.
     pub fn replay(mut self, trace: &[Arrival]) -> Outcome {
+        self.run(trace);
+        self.outcome
+    }
+
+    /// Replays a trace like [`Self::replay`] and keeps the placers.
+    pub fn run(&mut self, trace: &[Arrival]) {
         let end = trace.last().map_or(0, |last| last.at_ms) + 20_000;
         self.outcome.min_prefill_tokens = min_prefill_tokens(trace);
         let mut arrivals = trace.iter().enumerate().peekable();
@@ -344,7 +357,6 @@
         let longest_busy_ms = self.link_use.iter().map(|link| link.busy_ms);
         let trace_ms = trace.last().map_or(1, |last| last.at_ms) as f64;
         self.outcome.busiest_link_share = longest_busy_ms.fold(0.0, f64::max) / trace_ms;
-        self.outcome
     }
 
     fn place(&mut self, now: u64, number: usize, arrival: &Arrival) {
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -422,5 +422,21 @@
             /// Correction of the time of day at the start, in milliseconds.
             correction_ms: i64,
         } = "The time that usage windows follow is settled; it follows no steps of the clock.", "Set the clock of the machine if the correction is large.";
+        5055 Info InstanceCapacityChanged {
+            /// Name of the upstream.
+            upstream: UpstreamName,
+            /// Id of the instance.
+            instance: InstanceId,
+            /// Learned speed in percent of the median of the upstream's instances.
+            speed_percent: u32,
+            /// Previous value of `speed_percent`.
+            speed_percent_before: u32,
+            /// Concurrent requests of this gateway beyond which others are preferred; 0
+            /// if only the instance's slots limit them.
+            concurrency_limit: u32,
+            /// Previous value of `concurrency_limit`.
+            concurrency_limit_before: u32,
+        } = "The capacity that this gateway learned for an instance has changed by more than a fifth.",
+            "Investigate the instance if it stays slow although its machine is as fast as the others.";
     }
 }
