--- a/crates/harness/src/cluster/control.rs
+++ b/crates/harness/src/cluster/control.rs
@@ -24,6 +24,15 @@
         self.process_mut(name)?.signal("STOP")
     }
 
+    /// Returns whether a process runs; a suspended process counts as running.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the name is unknown.
+    pub fn is_running(&mut self, name: &str) -> Result<bool, HarnessError> {
+        Ok(self.process_mut(name)?.is_running())
+    }
+
     /// Resumes a suspended process (SIGCONT).
     ///
     /// # Errors
--- a/crates/harness/src/cluster/start.rs
+++ b/crates/harness/src/cluster/start.rs
@@ -123,6 +123,7 @@
         let zone = self.zone(index);
         let mut spec = self.limpetgw_spec("entry", &name, &zone)?;
         spec.args.extend(self.plan.entry_args.clone());
+        spec.envs.extend(self.plan.entry_envs.clone());
         spec.operator_flag = Some("--operator-listen");
         self.start_member(&name, &zone, Kind::Entry, spec)?;
         self.register(&name, "live").await?;
--- a/crates/harness/src/plan.rs
+++ b/crates/harness/src/plan.rs
@@ -55,6 +55,9 @@
     /// addresses, name, zone and platform.
     #[builder(default)]
     pub entry_args: Vec<String>,
+    /// Environment variables of each entry in addition to the inherited ones.
+    #[builder(default)]
+    pub entry_envs: Vec<(String, String)>,
     /// Arguments of `limpetgw agent` for each agent, besides those for its
     /// addresses, name, zone, platform and upstream.
     #[builder(default)]
--- a/crates/harness/src/usage.rs
+++ b/crates/harness/src/usage.rs
@@ -37,10 +37,35 @@
     ///
     /// Returns an error if the process has ended.
     pub fn rss_bytes(&self) -> Result<u64, HarnessError> {
+        self.status_bytes("VmRSS:")
+    }
+
+    /// Returns the largest resident set size since the start, in bytes; 0 if `/proc`
+    /// does not report it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended.
+    pub fn peak_rss_bytes(&self) -> Result<u64, HarnessError> {
+        self.status_bytes("VmHWM:")
+    }
+
+    /// Returns the number of open file descriptors.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended.
+    pub fn open_descriptors(&self) -> Result<usize, HarnessError> {
+        let path = format!("/proc/{}/fd", self.pid());
+        let entries = fs::read_dir(&path).map_err(HarnessError::io(path))?;
+        Ok(entries.count())
+    }
+
+    fn status_bytes(&self, field: &str) -> Result<u64, HarnessError> {
         let text = self.proc_file("status")?;
         let kib = text
             .lines()
-            .find_map(|line| line.strip_prefix("VmRSS:"))
+            .find_map(|line| line.strip_prefix(field))
             .and_then(|rest| rest.split_whitespace().next())
             .and_then(|number| number.parse::<u64>().ok());
         Ok(kib.unwrap_or(0) * 1024)
