Bound the memory and connections of all clients of a process

Cause: each request had limits, their sum had none. 80 bodies just short of their end took 342 to 345 MiB on a machine with 120 MB, 140 heads of many short fields 243 MiB, 150 silent connections 170 descriptors of 140.

The connection guard holds room for connections, long heads, bodies (a declared length as a whole, before it is read), pipelined requests and responses, until the response is written. Without room the client with the most bytes times time without progress is disconnected; clients whose request is at an instance never are. Otherwise the request is refused with 503 overloaded, not run. A body ends after a time without progress instead of 3 s in total; a stream that its caller does not read ends after 4 s. Bodies are read into memory of their own size: the library's function doubles its buffer to find the end and writes zeros into all of it.

--- a/crates/entry/src/guard.rs
+++ b/crates/entry/src/guard.rs
@@ -11,6 +11,10 @@
     filters::request_id,
 };
 
+/// Expected wait for room: clients that stopped are disconnected for others within
+/// about that time.
+const NO_MEMORY_RETRY_MS: u64 = 500;
+
 /// Policy with one time limit for receiving a request head and for responses that
 /// the caller does not read. Idle connections have no limit.
 #[derive(Clone, Copy, Debug)]
@@ -31,6 +35,15 @@
         self.request_timeout
     }
 
+    fn body_timeout(&self) -> Option<Duration> {
+        Some(self.request_timeout)
+    }
+
+    /// A body is read into a buffer and then shared, which copies it.
+    fn body_copies(&self) -> usize {
+        2
+    }
+
     fn on_rejected(&self, rejection: HeadRejection, context: RejectionContext) {
         emit(&EntryEvent::HeadRejected {
             code: error_code(rejection),
@@ -53,6 +66,7 @@
                 error_code(rejection),
                 format!("the request is malformed: {reason}"),
             ),
+            HeadRejection::NoMemory => no_memory(),
         };
         raw_response(&failure, &request_id::from_header(None))
     }
@@ -76,5 +90,15 @@
         HeadRejection::TimedOut { .. } => ErrorCode::RequestTimeout,
         HeadRejection::TooLarge { .. } => ErrorCode::HeadersTooLarge,
         HeadRejection::Malformed { .. } => ErrorCode::MalformedRequest,
+        HeadRejection::NoMemory => ErrorCode::Overloaded,
     }
 }
+
+/// Creates the failure for a request that the budget of all clients has no room for.
+pub(crate) fn no_memory() -> Failure {
+    Failure::not_run(
+        ErrorCode::Overloaded,
+        "this entry has no memory left for the request; send it again to reach another entry",
+    )
+    .retry_after(NO_MEMORY_RETRY_MS)
+}
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -2,11 +2,15 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use net::ConnectionGuard;
+use net::{ClientBudget, ClientCounts, ConnectionGuard};
+use policy::client_limits::ClientLimits;
 use serde_json::json;
 use shared_state::SharedState;
 use store::ObjectStore;
-use telemetry::{emit, events::EntryEvent};
+use telemetry::{
+    emit,
+    events::{EntryEvent, GatewayEvent},
+};
 use trillium::{Conn, Handler, HttpConfig};
 use trillium_server_common::ServerHandle;
 use trillium_smol::async_net::TcpListener;
@@ -71,9 +75,11 @@
     let (operator_socket, operator_addr) = bind(settings.operator_listen)?;
     let app = Arc::new(App::new(settings, dependencies));
     let drain = DrainHandle { app: app.clone() };
+    let clients = ClientBudget::new(ClientLimits::of(app.settings.machine));
     let guard = ConnectionGuard::new(Arc::new(EntryGuard {
         request_timeout: app.settings.request_timeout,
-    }));
+    }))
+    .with_budget(clients.clone());
     let callers = spawn(callers_socket, guard.clone(), callers_handler(app.clone()));
     let operator = spawn(
         operator_socket,
@@ -82,6 +88,7 @@
     );
     async_global_executor::spawn(run_claim_sweeper(app.clone())).detach();
     async_global_executor::spawn(exchange_periodically(app.clone())).detach();
+    async_global_executor::spawn(report_clients(app.clone(), clients)).detach();
     emit(&EntryEvent::Listening {
         instance: app.settings.instance.clone(),
         addr: addr.to_string(),
@@ -128,6 +135,20 @@
     }
 }
 
+/// Publishes the metrics of the clients' budget, and logs when it limits them.
+async fn report_clients(app: Arc<App>, clients: Arc<ClientBudget>) {
+    let on_limited = |before: ClientCounts, now: ClientCounts| {
+        emit(&GatewayEvent::ClientsLimited {
+            instance: app.settings.instance.clone(),
+            disconnected: now.evicted - before.evicted,
+            refused: now.refused - before.refused,
+            held_bytes: now.held_bytes,
+            connections: now.connections,
+        });
+    };
+    clients.report_periodically(on_limited).await;
+}
+
 fn bind(addr: SocketAddr) -> Result<(TcpListener, SocketAddr), RunError> {
     net::listen(addr).map_err(|error| RunError::Listen {
         addr: addr.to_string(),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use policy::choice::Rule;
+use policy::{choice::Rule, client_limits::Machine};
 use rpc::PeerSecrets;
 use store::HttpPlatform;
 use types::{InstanceId, ZoneName};
@@ -46,4 +46,7 @@
     /// default. A key that is sent again later counts as new.
     #[builder(default = Duration::from_secs(48 * 3_600))]
     pub claim_retention: Duration,
+    /// What the machine has for this process; its own limits by default.
+    #[builder(default = net::own_machine())]
+    pub machine: Machine,
 }
--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -11,9 +11,10 @@
 
 use arc_swap::ArcSwap;
 use indexmap::{IndexMap, IndexSet};
-use net::Lifecycle;
+use net::{ClientBudget, Lifecycle};
 use policy::{
     announcement::Announcements,
+    client_limits::ClientLimits,
     crash_evidence::{CrashLog, InstanceEnd, Suspect},
     named_limit::NamedLimits,
     placement::{Capacity, InstanceSpec, Placer},
@@ -83,6 +84,8 @@
     pub(crate) roster: Mutex<Roster>,
     pub(crate) pool: Pool,
     pub(crate) large_bodies: LargeBodyPool,
+    /// Memory and connections of the clients of both listeners.
+    pub(crate) clients: Arc<ClientBudget>,
     pub(crate) lifecycle: Lifecycle,
     pub(crate) crash_log: Mutex<CrashLog>,
     pub(crate) named_limits: Mutex<NamedLimits>,
@@ -115,6 +118,7 @@
     ) -> Self {
         Self {
             live: ArcSwap::from_pointee(settings.live),
+            clients: ClientBudget::new(ClientLimits::of(settings.machine)),
             settings,
             header_codec,
             routing: ArcSwap::default(),
--- a/crates/gateway/src/failure.rs
+++ b/crates/gateway/src/failure.rs
@@ -109,7 +109,10 @@
         }
         let is_partly_unread = matches!(
             self.code,
-            ErrorCode::BodyTooLarge | ErrorCode::RequestTimeout | ErrorCode::MalformedRequest
+            ErrorCode::BodyTooLarge
+                | ErrorCode::RequestTimeout
+                | ErrorCode::MalformedRequest
+                | ErrorCode::Overloaded
         );
         // A caller that awaits an interim response may send its body or not.
         let may_withhold_body = conn.request_headers().has_header("expect");
--- a/crates/gateway/src/guard.rs
+++ b/crates/gateway/src/guard.rs
@@ -9,11 +9,18 @@
 
 use crate::{app::App, failure::Failure};
 
-/// Time after which a response write that makes no progress fails. Callers
-/// abandon a stream after two seconds or more without an event, so one that has
-/// not read for this long is gone.
+/// Time after which the write of a complete response that makes no progress fails.
 const STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time after which a stream that its caller does not read is ended. It holds a slot
+/// of its instance, which cuts off a response that stays unread for some seconds.
+/// Callers abandon a stream after two seconds or more without an event.
+const STREAM_STALL_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Suggested retry delay of a request without room: clients that stopped are
+/// disconnected for others within about that time.
+const NO_MEMORY_RETRY_MS: u64 = 500;
+
 /// Connection limits of both listeners, from the current routing configuration.
 pub(crate) struct CallerGuardPolicy(pub(crate) Arc<App>);
 
@@ -30,6 +37,14 @@
         STALL_TIMEOUT
     }
 
+    fn stream_stall_timeout(&self) -> Duration {
+        STREAM_STALL_TIMEOUT
+    }
+
+    fn body_timeout(&self) -> Option<Duration> {
+        self.idle_timeout()
+    }
+
     fn on_rejected(&self, rejection: HeadRejection, context: RejectionContext) {
         emit(&GatewayEvent::HeadRejected {
             code: error_code(rejection),
@@ -52,6 +67,7 @@
                 error_code(rejection),
                 format!("the request is malformed: {reason}"),
             ),
+            HeadRejection::NoMemory => no_memory(),
         };
         let status = failure.code.http_status();
         let body = failure.body(None);
@@ -69,5 +85,12 @@
         HeadRejection::TimedOut { .. } => ErrorCode::RequestTimeout,
         HeadRejection::TooLarge { .. } => ErrorCode::HeadersTooLarge,
         HeadRejection::Malformed { .. } => ErrorCode::MalformedRequest,
+        HeadRejection::NoMemory => ErrorCode::Overloaded,
     }
 }
+
+/// Creates the failure for a request that the budget of all clients has no room for.
+pub(crate) fn no_memory() -> Failure {
+    let reason = "the memory for requests of all clients is in use; retry on another gateway";
+    Failure::not_run(ErrorCode::Overloaded, reason).retry_after(NO_MEMORY_RETRY_MS)
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use http::{HeaderMap, Method};
+use net::BodyError;
 use policy::placement::Demand;
 use telemetry::{emit, events::GatewayEvent};
 use trillium::{Body, Conn, Status};
@@ -17,6 +18,7 @@
     app::App,
     attempt::{Outcome, Session},
     failure::{stopping_not_run, unless_ended, Failure},
+    guard::no_memory,
     header_codec::RequestMeta,
     headers,
     request::Request,
@@ -257,33 +259,37 @@
     }
 }
 
+/// Reads the body. A body without progress ends by the timeout of the listener; a
+/// slow one has until the longest deadline.
 async fn read_body(conn: &mut Conn, limits: &Limits) -> Result<Bytes, Failure> {
     let max_bytes = limits.body_max_bytes;
-    let body = conn.request_body().with_max_len(max_bytes);
-    if body.content_length().is_some_and(|len| len > max_bytes) {
-        return Err(body_too_large(max_bytes));
-    }
     let read = async {
-        body.read_bytes().await.map_err(|error| match error {
-            trillium_http::Error::ReceivedBodyTooLong(_) => body_too_large(max_bytes),
-            error => Failure::not_run(
+        let body = net::read_body(conn.request_body().into(), max_bytes);
+        body.await.map_err(|error| match error {
+            BodyError::TooLarge => body_too_large(max_bytes),
+            BodyError::Stalled => body_timed_out(limits.idle_timeout),
+            BodyError::NoMemory(_) => no_memory(),
+            BodyError::Invalid(error) => Failure::not_run(
                 ErrorCode::MalformedRequest,
                 format!("request body is truncated or has invalid HTTP framing: {error}"),
             ),
         })
     };
-    let timeout = limits.head_timeout;
     let timed_out = async {
-        smol::Timer::after(timeout).await;
-        let timeout_ms = timeout.as_millis();
-        Err(Failure::not_run(
-            ErrorCode::RequestTimeout,
-            format!("request body not complete within {timeout_ms} ms"),
-        ))
+        smol::Timer::after(DEFAULT_DEADLINE).await;
+        Err(body_timed_out(DEFAULT_DEADLINE))
     };
     read.or(timed_out).await.map(Bytes::from)
 }
 
+fn body_timed_out(timeout: Duration) -> Failure {
+    let timeout_ms = timeout.as_millis();
+    Failure::not_run(
+        ErrorCode::RequestTimeout,
+        format!("request body not complete, or without progress, within {timeout_ms} ms"),
+    )
+}
+
 fn body_too_large(max_bytes: u64) -> Failure {
     Failure::not_run(
         ErrorCode::BodyTooLarge,
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use net::ConnectionGuard;
+use net::{ClientCounts, ConnectionGuard};
 use policy::roster::Member;
 use telemetry::{emit, events::GatewayEvent};
 use trillium::{Conn, Handler, HttpConfig, Status};
@@ -115,6 +115,7 @@
     async_global_executor::spawn(publish_own_record(app.clone(), platform.peers)).detach();
     async_global_executor::spawn(platform_sync::run_maintenance(app.clone())).detach();
     async_global_executor::spawn(live::reload_periodically(app.clone())).detach();
+    async_global_executor::spawn(report_clients(app.clone())).detach();
     let callers = spawn(callers_socket, &app, callers_handler(app.clone()));
     let operator = spawn(operator_socket, &app, operator_handler(app.clone()));
     Ok(Running {
@@ -174,6 +175,20 @@
     }
 }
 
+/// Publishes the metrics of the clients' budget, and logs when it limits them.
+async fn report_clients(app: Arc<App>) {
+    let on_limited = |before: ClientCounts, now: ClientCounts| {
+        emit(&GatewayEvent::ClientsLimited {
+            instance: app.settings.instance.clone(),
+            disconnected: now.evicted - before.evicted,
+            refused: now.refused - before.refused,
+            held_bytes: now.held_bytes,
+            connections: now.connections,
+        });
+    };
+    app.clients.report_periodically(on_limited).await;
+}
+
 fn bind(addr: SocketAddr) -> Result<(TcpListener, SocketAddr), RunError> {
     net::listen(addr).map_err(|error| RunError::Listen {
         addr: addr.to_string(),
@@ -182,13 +197,12 @@
 }
 
 fn spawn(socket: TcpListener, app: &Arc<App>, handler: impl Handler) -> ServerHandle {
+    let guard = ConnectionGuard::new(Arc::new(CallerGuardPolicy(app.clone())));
     trillium_smol::config()
         .with_prebound_server(socket)
         .without_signals()
         .with_nodelay()
-        .with_acceptor(ConnectionGuard::new(Arc::new(CallerGuardPolicy(
-            app.clone(),
-        ))))
+        .with_acceptor(guard.with_budget(app.clients.clone()))
         .with_http_config(HttpConfig::default().with_head_max_len(HEAD_MAX_BYTES))
         .spawn(handler)
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
+use policy::client_limits::Machine;
 use types::{InstanceId, ZoneName};
 
 use crate::live::LiveSettings;
@@ -38,4 +39,7 @@
     /// Time for which the balancer may still open connections after `/readyz`
     /// has started to report not ready.
     pub balancer_lag: Duration,
+    /// What the machine has for this process; its own limits by default.
+    #[builder(default = net::own_machine())]
+    pub machine: Machine,
 }
--- a/crates/limpetgw/src/cli/common.rs
+++ b/crates/limpetgw/src/cli/common.rs
@@ -4,6 +4,7 @@
 
 use async_global_executor::GlobalExecutorConfig;
 use clap::{Args, ValueEnum};
+use policy::client_limits::Machine;
 use rpc::PeerSecrets;
 use store::HttpPlatform;
 use types::{InstanceId, ZoneName};
@@ -59,6 +60,32 @@
     log_level: log::LevelFilter,
 }
 
+/// What the machine has for a process that serves callers.
+#[derive(Debug, Args)]
+pub(crate) struct MachineArgs {
+    /// Memory of the machine, in MB of 1,048,576 bytes; by default the lowest of the
+    /// limits of the process, its control group and the machine.
+    #[arg(long, env = "LIMPETGW_MEMORY_LIMIT_MB", value_parser = clap::value_parser!(u32).range(16..=1_048_576))]
+    memory_limit_mb: Option<u32>,
+    /// Maximum number of open file descriptors; by default the limit of the process.
+    #[arg(long, env = "LIMPETGW_DESCRIPTORS_MAX", value_parser = clap::value_parser!(u32).range(256..=16_777_216))]
+    descriptors_max: Option<u32>,
+}
+
+impl MachineArgs {
+    pub(crate) fn machine(&self) -> Machine {
+        let own = net::own_machine();
+        let memory_bytes = self.memory_limit_mb.map(|mb| (mb as usize) << 20);
+        let descriptors_max = self.descriptors_max.map(|max| max as usize);
+        Machine {
+            memory_bytes: memory_bytes.unwrap_or(own.memory_bytes),
+            descriptors_max: descriptors_max
+                .unwrap_or(own.descriptors_max)
+                .min(own.descriptors_max),
+        }
+    }
+}
+
 /// Address of the platform and secrets for calls between processes.
 #[derive(Debug, Args)]
 pub(crate) struct PlatformArgs {
--- a/crates/limpetgw/src/cli/entry.rs
+++ b/crates/limpetgw/src/cli/entry.rs
@@ -5,7 +5,10 @@
 use clap::{Args, ValueEnum};
 use policy::choice::Rule;
 
-use super::{common::CommonArgs, CliError};
+use super::{
+    common::{CommonArgs, MachineArgs},
+    CliError,
+};
 
 const SECONDS_PER_HOUR: u64 = 3_600;
 
@@ -55,6 +58,8 @@
     /// hours; afterwards its idempotency key counts as new.
     #[arg(long, env = "LIMPETGW_CLAIM_RETENTION_H", default_value_t = 48, value_parser = clap::value_parser!(u64).range(1..=8_760))]
     claim_retention_h: u64,
+    #[command(flatten)]
+    machine: MachineArgs,
 }
 
 impl EntryArgs {
@@ -83,6 +88,7 @@
             .subset_max(usize::from(self.subset_max))
             .request_timeout(Duration::from_millis(self.request_timeout_ms))
             .balancer_lag(Duration::from_millis(self.balancer_lag_ms))
+            .machine(self.machine.machine())
             .claim_retention(Duration::from_secs(
                 self.claim_retention_h * SECONDS_PER_HOUR,
             ))
--- a/crates/limpetgw/src/cli/gateway.rs
+++ b/crates/limpetgw/src/cli/gateway.rs
@@ -6,7 +6,7 @@
 use gateway::{LiveSettings, RetryBound};
 
 use super::{
-    common::{check_addr, ProcessArgs},
+    common::{check_addr, MachineArgs, ProcessArgs},
     CliError,
 };
 
@@ -63,6 +63,8 @@
     settings_file: Option<PathBuf>,
     #[command(flatten)]
     process: ProcessArgs,
+    #[command(flatten)]
+    machine: MachineArgs,
 }
 
 impl GatewayArgs {
@@ -92,6 +94,7 @@
             })
             .maybe_file(self.settings_file.clone())
             .balancer_lag(Duration::from_millis(self.balancer_lag_ms))
+            .machine(self.machine.machine())
             .build();
         self.process.start(telemetry::LogOutput::Stdout);
         let result = gateway::run(settings, platform::adapter(&store_addr)).await;
--- a/crates/limpetgw/tests/clients_suite/main.rs
+++ b/crates/limpetgw/tests/clients_suite/main.rs
@@ -34,6 +34,10 @@
         drop(clients);
         assert!(process.is_running(), "{place:?}: the process has ended");
         let peak_bytes = process.peak_bytes();
+        println!(
+            "{place:?}: peak {} MiB, {descriptors} descriptors",
+            peak_bytes >> 20
+        );
         assert!(
             peak_bytes <= limits.memory_bytes(),
             "{place:?}: {} MiB of {}",
--- a/crates/net/src/connection_guard.rs
+++ b/crates/net/src/connection_guard.rs
@@ -26,7 +26,12 @@
 use smol::Timer;
 use trillium_server_common::{Acceptor, Transport};
 
-use crate::request_framing::{FramingError, RequestFramer, HEAD_MAX_BYTES};
+use policy::client_limits::{Activity, ClientLimits};
+
+use crate::{
+    client_budget::{BudgetExhausted, ClientAccount, ClientBudget, Component},
+    request_framing::{FramingError, RequestFramer, HEAD_MAX_BYTES},
+};
 
 /// Start of every response as the HTTP library writes it.
 const STATUS_LINE_START: &[u8] = b"HTTP/1.1 ";
@@ -38,6 +43,27 @@
 /// more is not read from until its response was written.
 const AHEAD_MAX_BYTES: usize = 64 << 10;
 
+/// Bytes of pipelined requests that need no room in the budget of all clients.
+const AHEAD_FREE_BYTES: usize = 4 << 10;
+
+/// Bytes of an incomplete head that need no room in the budget of all clients, and
+/// the room that a longer one takes: it is kept here and by the HTTP library.
+const HEAD_FREE_BYTES: usize = 4 << 10;
+const HEAD_ROOM_BYTES: usize = 2 * HEAD_MAX_BYTES;
+
+/// Fields of a head that need no room in the budget of all clients, and the room that
+/// each further one takes: 140 heads with 2,200 fields each took 220 MiB of a gateway,
+/// which keeps two maps of them.
+const FIELDS_FREE: usize = 32;
+const FIELD_ROOM_BYTES: usize = 800;
+
+/// Bytes of a body, or of a response, that need no room in the budget of all clients,
+/// as the buffers of a connection hold them.
+const BODY_FREE_BYTES: u64 = 16 << 10;
+
+/// First room of a body of unknown length; it doubles when it is filled.
+const CHUNKED_ROOM_BYTES: u64 = 64 << 10;
+
 /// Bytes of a request that are read and discarded after its response.
 const DISCARD_MAX_BYTES: u64 = 16 << 20;
 
@@ -64,6 +90,8 @@
         /// Description of the error.
         reason: &'static str,
     },
+    /// The memory for requests of all clients is in use.
+    NoMemory,
 }
 
 /// Timeouts and rejection responses of a listener. Evaluated for each
@@ -80,6 +108,23 @@
     /// Returns the time after which a response write without progress fails.
     fn stall_timeout(&self) -> Duration;
 
+    /// Returns the time after which a stream that the caller does not read is ended:
+    /// a response without a length, whose instance is at work meanwhile.
+    fn stream_stall_timeout(&self) -> Duration {
+        self.stall_timeout()
+    }
+
+    /// Returns the time without progress after which a body is no longer awaited;
+    /// `None` for no limit.
+    fn body_timeout(&self) -> Option<Duration> {
+        None
+    }
+
+    /// Returns the number of bytes of memory for a byte of a body.
+    fn body_copies(&self) -> usize {
+        1
+    }
+
     /// Returns the raw HTTP response to a rejected head. The connection is
     /// closed after it.
     fn rejection_response(&self, rejection: HeadRejection) -> Vec<u8>;
@@ -99,18 +144,33 @@
 
 /// Acceptor that wraps each accepted connection in a [`GuardedConnection`].
 #[derive(Debug)]
-pub struct ConnectionGuard<P>(Arc<P>);
+pub struct ConnectionGuard<P> {
+    policy: Arc<P>,
+    budget: Arc<ClientBudget>,
+}
 
 impl<P> ConnectionGuard<P> {
     /// Creates an acceptor that applies `policy` to each connection.
     pub fn new(policy: Arc<P>) -> Self {
-        Self(policy)
+        Self {
+            policy,
+            budget: ClientBudget::new(ClientLimits::UNLIMITED),
+        }
+    }
+
+    /// Sets the budget of all clients, which the listeners of a process share.
+    pub fn with_budget(mut self, budget: Arc<ClientBudget>) -> Self {
+        self.budget = budget;
+        self
     }
 }
 
 impl<P> Clone for ConnectionGuard<P> {
     fn clone(&self) -> Self {
-        Self(self.0.clone())
+        Self {
+            policy: self.policy.clone(),
+            budget: self.budget.clone(),
+        }
     }
 }
 
@@ -119,14 +179,20 @@
     type Error = io::Error;
 
     async fn accept(&self, input: T) -> Result<Self::Output, Self::Error> {
+        let account = self.budget.connect().map_err(io::Error::other)?;
         Ok(GuardedConnection {
             inner: Some(input),
-            policy: self.0.clone(),
+            account: Some(account),
+            policy: self.policy.clone(),
             framer: RequestFramer::new(),
             ahead: Vec::new(),
             phase: Phase::awaiting_request(),
             write_stall_timer: None,
             responses: 0,
+            head_has_room: false,
+            body_room_bytes: 0,
+            body_read_bytes: 0,
+            has_length: false,
         })
     }
 
@@ -143,6 +209,9 @@
         idle_timer: Option<Timer>,
         /// Timeout of the head, started by its first byte.
         head_timer: Option<Timer>,
+        /// Timeout of a body without progress, started by the first read of it that
+        /// has to wait.
+        body_timer: Option<Timer>,
         /// Bytes of an interim response that are still to be written.
         interim_bytes: usize,
     },
@@ -162,6 +231,7 @@
         Phase::Requesting {
             idle_timer: None,
             head_timer: None,
+            body_timer: None,
             interim_bytes: 0,
         }
     }
@@ -178,6 +248,8 @@
 pub struct GuardedConnection<T: Transport + Unpin + 'static, P> {
     /// `None` only once the connection is being dropped.
     inner: Option<T>,
+    /// What the client holds; `None` only once the connection is being dropped.
+    account: Option<ClientAccount>,
     policy: Arc<P>,
     framer: RequestFramer,
     /// Bytes received beyond the current request.
@@ -187,6 +259,14 @@
     write_stall_timer: Option<Timer>,
     /// Responses that were begun.
     responses: u32,
+    /// Whether room is held for a long head.
+    head_has_room: bool,
+    /// Room that is held for the body of the request, in bytes of the body.
+    body_room_bytes: u64,
+    /// Bytes of the body and its framing that were passed on.
+    body_read_bytes: u64,
+    /// Whether the response that is being written has a length.
+    has_length: bool,
 }
 
 impl<T: Transport + Unpin + 'static, P: GuardPolicy> GuardedConnection<T, P> {
@@ -201,7 +281,16 @@
             self.write_stall_timer = None;
             return wrote;
         }
-        let timeout = self.policy.stall_timeout();
+        if let Some(account) = &mut self.account {
+            account.set_activity(Activity::Reading);
+            if account.wake_on_eviction(cx.waker()) {
+                return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+            }
+        }
+        let timeout = match self.has_length {
+            true => self.policy.stall_timeout(),
+            false => self.policy.stream_stall_timeout(),
+        };
         let timer = self
             .write_stall_timer
             .get_or_insert_with(|| Timer::after(timeout));
@@ -212,6 +301,10 @@
     /// Records the result of a write of `bytes`: of the response, or of an interim
     /// response, after which the request goes on.
     fn on_written(&mut self, bytes: &[u8], wrote: &Poll<io::Result<usize>>) {
+        if let (Poll::Ready(Ok(count)), Some(account)) = (wrote, &mut self.account) {
+            account.on_moved(*count);
+            account.set_activity(Activity::Waiting);
+        }
         let Phase::Requesting { interim_bytes, .. } = &mut self.phase else {
             return;
         };
@@ -223,17 +316,92 @@
         if *interim_bytes == 0 {
             self.responses += 1;
             self.phase = Phase::Responding;
+            self.on_response(bytes);
         } else if let Poll::Ready(Ok(count)) = wrote {
             *interim_bytes = interim_bytes.saturating_sub(*count);
         }
     }
 
+    /// Holds room for a response that has just begun with `bytes`.
+    fn on_response(&mut self, bytes: &[u8]) {
+        let length = response_length(bytes);
+        self.has_length = length.is_some();
+        let length = length.unwrap_or(0);
+        if length > BODY_FREE_BYTES {
+            let bytes = usize::try_from(length).unwrap_or(usize::MAX);
+            if let Some(account) = &mut self.account {
+                account.hold_used(Component::Responses, bytes);
+            }
+        }
+    }
+
+    /// Gives back what was held for a request and its response.
+    fn end_request(&mut self) {
+        self.head_has_room = false;
+        self.body_room_bytes = 0;
+        self.body_read_bytes = 0;
+        let Some(account) = &mut self.account else {
+            return;
+        };
+        account.release(Component::Heads);
+        account.release(Component::Bodies);
+        account.release(Component::Responses);
+        account.begin(Activity::Idle);
+    }
+
+    fn hold(&mut self, component: Component, bytes: usize) -> Result<(), BudgetExhausted> {
+        match &mut self.account {
+            Some(account) => account.hold(component, bytes),
+            None => Ok(()),
+        }
+    }
+
+    /// Holds room for the part of the body that the next read may return. A declared
+    /// length is held as a whole, so that a body is refused before it is read.
+    fn hold_body(&mut self, read_max_bytes: usize) -> Result<(), BudgetExhausted> {
+        let wanted_bytes = match self.framer.remaining_bytes() {
+            Some(remaining) => self.body_read_bytes + remaining,
+            None => self.body_read_bytes + read_max_bytes as u64,
+        };
+        if wanted_bytes <= self.body_room_bytes.max(BODY_FREE_BYTES) {
+            return Ok(());
+        }
+        let room_bytes = match self.framer.remaining_bytes() {
+            Some(_) => wanted_bytes,
+            None => wanted_bytes
+                .max(2 * self.body_room_bytes)
+                .max(CHUNKED_ROOM_BYTES),
+        };
+        let added_bytes = usize::try_from(room_bytes - self.body_room_bytes).unwrap_or(usize::MAX);
+        let copies = self.policy.body_copies();
+        self.hold(Component::Bodies, added_bytes.saturating_mul(copies))?;
+        self.body_room_bytes = room_bytes;
+        Ok(())
+    }
+
+    /// Holds room for a head that is long or has many fields.
+    fn hold_head(&mut self) -> Result<(), BudgetExhausted> {
+        if self.framer.is_in_head() {
+            let is_long = self.framer.head_bytes() > HEAD_FREE_BYTES;
+            if is_long && !self.head_has_room {
+                self.hold(Component::Heads, HEAD_ROOM_BYTES)?;
+                self.head_has_room = true;
+            }
+            return Ok(());
+        }
+        match self.framer.fields().saturating_sub(FIELDS_FREE) {
+            0 => Ok(()),
+            fields => self.hold(Component::Heads, fields * FIELD_ROOM_BYTES),
+        }
+    }
+
     /// Advances the phase at a read that follows a response.
     fn on_read_after_response(&mut self) {
         match &self.phase {
             Phase::Responding | Phase::Discarding { .. } if self.framer.is_complete() => {
                 self.framer = RequestFramer::new();
                 self.phase = Phase::awaiting_request();
+                self.end_request();
             }
             // The HTTP library does not skip such a body, and the caller may send it or
             // another request next.
@@ -243,6 +411,7 @@
                     timer: Timer::after(self.policy.head_timeout()),
                     discarded_bytes: 0,
                 };
+                self.end_request();
             }
             _ => {}
         }
@@ -263,6 +432,11 @@
 
     /// Reads bytes of the current request, with the surplus kept in `ahead`.
     fn poll_request(&mut self, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
+        let is_requesting = matches!(self.phase, Phase::Requesting { .. });
+        let was_in_head = self.framer.is_in_head();
+        if is_requesting && !was_in_head {
+            self.hold_body(buf.len()).map_err(io::Error::other)?;
+        }
         let from_ahead = !self.ahead.is_empty();
         let count = if from_ahead {
             let count = self.ahead.len().min(buf.len());
@@ -274,6 +448,7 @@
             };
             ready!(Pin::new(inner).poll_read(cx, buf))?
         };
+        let was_unstarted = self.framer.is_unstarted();
         let received_bytes = self.framer.head_bytes() + count;
         let consumed = match self.framer.consume(&buf[..count]) {
             Ok(consumed) => consumed,
@@ -281,12 +456,48 @@
         };
         if from_ahead {
             self.ahead.drain(..consumed);
+            self.release_ahead();
         } else {
             self.ahead.extend_from_slice(&buf[consumed..count]);
         }
+        if is_requesting {
+            self.on_received(consumed, was_unstarted, was_in_head);
+            if was_in_head && self.hold_head().is_err() {
+                self.reject(HeadRejection::NoMemory, received_bytes);
+                return self.poll_rejection(cx);
+            }
+        }
         Poll::Ready(Ok(consumed))
     }
 
+    /// Records bytes of the request that were passed on.
+    fn on_received(&mut self, bytes: usize, was_unstarted: bool, was_in_head: bool) {
+        if !was_in_head {
+            self.body_read_bytes += bytes as u64;
+        }
+        let Some(account) = &mut self.account else {
+            return;
+        };
+        if self.framer.is_complete() {
+            account.begin(Activity::Waiting);
+        } else if was_unstarted && !self.framer.is_unstarted() {
+            account.begin(Activity::Sending);
+        } else {
+            account.on_moved(bytes);
+        }
+    }
+
+    /// Gives back the room of pipelined requests once they were passed on.
+    fn release_ahead(&mut self) {
+        if !self.ahead.is_empty() || self.ahead.capacity() <= AHEAD_FREE_BYTES {
+            return;
+        }
+        self.ahead = Vec::new();
+        if let Some(account) = &mut self.account {
+            account.release(Component::Pipelined);
+        }
+    }
+
     /// Rejects a head whose framing is invalid; fails the read within a body.
     fn fail_framing(
         &mut self,
@@ -310,14 +521,23 @@
     }
 
     /// Waits for the caller to disconnect while its request is in progress. Bytes
-    /// of the next request are kept.
+    /// of the next request are kept, as far as there is room for them.
     fn poll_disconnect(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
-        let Some(inner) = &mut self.inner else {
-            return Poll::Ready(Err(io::ErrorKind::NotConnected.into()));
-        };
         while self.ahead.len() < AHEAD_MAX_BYTES {
+            let is_long = self.ahead.len() > AHEAD_FREE_BYTES;
+            let has_room = self.ahead.capacity() >= AHEAD_MAX_BYTES;
+            if is_long && !has_room {
+                if self.hold(Component::Pipelined, AHEAD_MAX_BYTES).is_err() {
+                    // Not read until the response was written.
+                    return Poll::Pending;
+                }
+                self.ahead.reserve_exact(AHEAD_MAX_BYTES);
+            }
+            let Some(inner) = &mut self.inner else {
+                return Poll::Ready(Err(io::ErrorKind::NotConnected.into()));
+            };
             let mut bytes = [0; 2048];
-            match ready!(Pin::new(&mut *inner).poll_read(cx, &mut bytes))? {
+            match ready!(Pin::new(inner).poll_read(cx, &mut bytes))? {
                 0 => return Poll::Ready(Ok(0)),
                 count => self.ahead.extend_from_slice(&bytes[..count]),
             }
@@ -347,6 +567,20 @@
                 self.reject(HeadRejection::TimedOut { timeout_ms }, received_bytes);
                 self.poll_rejection(cx)
             }
+            Phase::Requesting { body_timer, .. } if !self.framer.is_complete() => {
+                let Some(timeout) = self.policy.body_timeout() else {
+                    return Poll::Pending;
+                };
+                let timer = body_timer.get_or_insert_with(|| Timer::after(timeout));
+                while Pin::new(&mut *timer).poll(cx).is_ready() {
+                    let quiet = self.account.as_ref().map_or(timeout, ClientAccount::quiet);
+                    if quiet >= timeout {
+                        return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+                    }
+                    timer.set_after(timeout - quiet);
+                }
+                Poll::Pending
+            }
             Phase::Discarding { timer, .. } => {
                 ready!(Pin::new(timer).poll(cx));
                 self.phase = Phase::Closing;
@@ -372,6 +606,31 @@
         Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()))
     }
 
+    /// Reads on behalf of the HTTP library, within the timeouts.
+    fn poll_read_guarded(
+        &mut self,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        self.on_read_after_response();
+        match self.phase {
+            Phase::Rejecting { .. } => return self.poll_rejection(cx),
+            Phase::Closing => return Poll::Ready(Ok(0)),
+            _ => {}
+        }
+        if self.framer.is_complete() {
+            return self.poll_disconnect(cx);
+        }
+        let read = self.poll_request(cx, buf);
+        match &read {
+            Poll::Ready(Ok(count)) => self.on_discarded(*count),
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending if matches!(self.phase, Phase::Rejecting { .. }) => {}
+            Poll::Pending => return self.poll_read_timeout(cx),
+        }
+        read
+    }
+
     /// Counts bytes that are discarded, and ends the connection above the limit.
     fn on_discarded(&mut self, count: usize) {
         if let Phase::Discarding {
@@ -392,23 +651,16 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        self.on_read_after_response();
-        match self.phase {
-            Phase::Rejecting { .. } => return self.poll_rejection(cx),
-            Phase::Closing => return Poll::Ready(Ok(0)),
-            _ => {}
-        }
-        if self.framer.is_complete() {
-            return self.poll_disconnect(cx);
-        }
-        let read = self.poll_request(cx, buf);
-        match &read {
-            Poll::Ready(Ok(count)) => self.on_discarded(*count),
-            Poll::Ready(Err(_)) => {}
-            Poll::Pending if matches!(self.phase, Phase::Rejecting { .. }) => {}
-            Poll::Pending => return self.poll_read_timeout(cx),
+        let read = self.poll_read_guarded(cx, buf);
+        let is_evicted = match (&self.account, &read) {
+            (Some(account), Poll::Pending) => account.wake_on_eviction(cx.waker()),
+            (Some(account), Poll::Ready(_)) => account.is_evicted(),
+            (None, _) => false,
+        };
+        match is_evicted {
+            true => Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into())),
+            false => read,
         }
-        read
     }
 }
 
@@ -459,15 +711,23 @@
         let is_rejecting = matches!(self.phase, Phase::Rejecting { .. });
         let is_within_request = !self.framer.is_complete() && !self.framer.is_unstarted();
         let has_unread = self.responses > 0 && (is_within_request || !self.ahead.is_empty());
+        let account = self.account.take();
+        if account.as_ref().is_some_and(ClientAccount::is_evicted) {
+            return;
+        }
         if let (true, Some(inner)) = (is_rejecting || has_unread, self.inner.take()) {
-            async_global_executor::spawn(linger(inner)).detach();
+            async_global_executor::spawn(linger(inner, account)).detach();
         }
     }
 }
 
 /// Closes the sending direction and reads until the caller has closed the other
-/// one, for a limited time and number of bytes.
-async fn linger<T: Transport + Unpin>(mut inner: T) {
+/// one, for a limited time and number of bytes. The connection counts meanwhile, and
+/// nothing else of the client.
+async fn linger<T: Transport + Unpin>(mut inner: T, mut account: Option<ClientAccount>) {
+    if let Some(account) = &mut account {
+        account.release_requests();
+    }
     let discard = async {
         inner.close().await?;
         let mut bytes = vec![0; 8 << 10];
@@ -525,3 +785,16 @@
         Some(Cow::Borrowed(b"http/1.1"))
     }
 }
+
+/// Returns the length of a response whose head begins `bytes`; `None` if it has none
+/// or its head is incomplete.
+fn response_length(bytes: &[u8]) -> Option<u64> {
+    let end = memchr::memmem::find(bytes, b"\r\n\r\n")?;
+    let mut lines = bytes[..end].split(|byte| *byte == b'\n');
+    lines.find_map(|line| {
+        let colon = memchr::memchr(b':', line)?;
+        let is_length = line[..colon].eq_ignore_ascii_case(b"content-length");
+        let text = std::str::from_utf8(&line[colon + 1..]).ok()?;
+        is_length.then(|| text.trim().parse().ok())?
+    })
+}
--- a/crates/net/src/request_framing.rs
+++ b/crates/net/src/request_framing.rs
@@ -44,6 +44,8 @@
     expects_continue: bool,
     /// Whether a byte of the body was consumed.
     body_begun: bool,
+    /// Fields of the head, once it is complete.
+    fields: usize,
 }
 
 #[derive(Debug)]
@@ -100,6 +102,8 @@
     chunked: bool,
     length: u64,
     expects_continue: bool,
+    /// Fields of the head.
+    fields: usize,
 }
 
 impl RequestFramer {
@@ -109,6 +113,7 @@
             state: State::Head { bytes: Vec::new() },
             expects_continue: false,
             body_begun: false,
+            fields: 0,
         }
     }
 
@@ -135,6 +140,21 @@
         }
     }
 
+    /// Returns the number of fields of a complete head.
+    pub(crate) fn fields(&self) -> usize {
+        self.fields
+    }
+
+    /// Returns the bytes of the body that are still missing, `None` if its length is
+    /// not known.
+    pub(crate) fn remaining_bytes(&self) -> Option<u64> {
+        match self.state {
+            State::Length { remaining } => Some(remaining),
+            State::Complete => Some(0),
+            State::Head { .. } | State::Chunked(_) => None,
+        }
+    }
+
     /// Returns whether the caller may wait for an interim response before it sends
     /// the body, and no byte of the body was consumed.
     pub(crate) fn withholds_body(&self) -> bool {
@@ -215,6 +235,7 @@
         }
         let framing = body_framing(head)?;
         self.expects_continue = framing.expects_continue;
+        self.fields = framing.fields;
         self.state = match (framing.chunked, framing.length) {
             (true, _) => State::Chunked(SIZE_LINE_START),
             (false, 0) => State::Complete,
@@ -347,12 +368,14 @@
     let mut expects_continue = false;
     let mut rest = head;
     let mut is_request_line = true;
+    let mut fields = 0;
     while let Some(end) = memmem::find(rest, b"\r\n") {
         let line = &rest[..end];
         rest = &rest[end + 2..];
         if mem::take(&mut is_request_line) {
             continue;
         }
+        fields += 1;
         let Some(colon) = memchr::memchr(b':', line) else {
             continue;
         };
@@ -386,6 +409,7 @@
         chunked,
         length: length.unwrap_or(0),
         expects_continue,
+        fields,
     })
 }
 
--- a/crates/net/tests/connection_guard.rs
+++ b/crates/net/tests/connection_guard.rs
@@ -41,6 +41,7 @@
             HeadRejection::TimedOut { .. } => 408,
             HeadRejection::TooLarge { .. } => 431,
             HeadRejection::Malformed { .. } => 400,
+            HeadRejection::NoMemory => 503,
         };
         format!("HTTP/1.1 {status} Any\r\nconnection: close\r\ncontent-length: 0\r\n\r\n").into()
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod admission;
 pub mod announcement;
 pub mod choice;
+pub mod client_limits;
 pub mod crash_evidence;
 pub mod named_limit;
 pub mod placement;
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -326,5 +326,18 @@
             pause_ms: u64,
         } = "An instance turned a request away and wants no more for a time; it gets none.",
             "Investigate the instance if it happens often: it is short of resources.";
+        5080 Warn ClientsLimited {
+            /// Id of this process.
+            instance: InstanceId,
+            /// Clients that were disconnected to make room.
+            disconnected: u64,
+            /// Requests and connections for which there was no room.
+            refused: u64,
+            /// Memory that clients hold, in bytes.
+            held_bytes: usize,
+            /// Connections of clients.
+            connections: usize,
+        } = "In the last second the limits on all clients of this process were reached: the costliest clients were disconnected, and requests were refused without being run.",
+            "Find the clients that hold memory without progress; see `limpetgw_client_memory_bytes` by component.";
     }
 }
--- a/crates/types/src/error_code.rs
+++ b/crates/types/src/error_code.rs
@@ -73,6 +73,9 @@
     Draining = "draining", 503;
     /// No upstream instance can accept the request at present.
     NoUpstream = "no_upstream", 503;
+    /// This process has no memory left for the request, whose body it has not read
+    /// completely.
+    Overloaded = "overloaded", 503;
     /// The request needs the platform's store, which is unavailable.
     StoreUnavailable = "store_unavailable", 503;
     /// The process has not yet received the configuration or crash evidence that the
