--- a/crates/net/src/client_budget.rs
+++ b/crates/net/src/client_budget.rs
@@ -226,13 +226,13 @@
         Ok(account)
     }
 
-    /// Returns whether another connection may be open. An eighth of the limit is
-    /// lent against connections that are being closed.
+    /// Returns whether another connection may be open. An eighth of the limit, and at
+    /// least one, is lent against connections that are being closed.
     fn has_connection(&self) -> bool {
         let open = lock(&self.clients).len();
         let leaving = self.leaving_connections.load(Ordering::Relaxed);
         let max = self.limits.connections_max;
-        open.saturating_sub(leaving) < max && open < max + max / 8
+        open.saturating_sub(leaving) < max && open <= max + max / 8
     }
 
     fn now_ms(&self) -> u64 {
--- a/crates/net/src/connection_guard.rs
+++ b/crates/net/src/connection_guard.rs
@@ -61,7 +61,7 @@
 /// as the buffers of a connection hold them.
 const BODY_FREE_BYTES: u64 = 16 << 10;
 
-/// First room of a body of unknown length; it doubles when it is filled.
+/// Steps in which the room of a body of unknown length grows.
 const CHUNKED_ROOM_BYTES: u64 = 64 << 10;
 
 /// Bytes of a request that are read and discarded after its response.
@@ -298,6 +298,15 @@
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 
+    /// Returns the error of a write that has blocked for the stall timeout. Checked
+    /// before the next try, because the kernel takes some more bytes at times although
+    /// the caller reads none.
+    fn write_stall(&mut self, cx: &mut Context<'_>) -> Option<io::Error> {
+        let timer = self.write_stall_timer.as_mut()?;
+        let is_over = Pin::new(timer).poll(cx).is_ready();
+        is_over.then(|| io::ErrorKind::TimedOut.into())
+    }
+
     /// Records the result of a write of `bytes`: of the response, or of an interim
     /// response, after which the request goes on.
     fn on_written(&mut self, bytes: &[u8], wrote: &Poll<io::Result<usize>>) {
@@ -368,9 +377,7 @@
         }
         let room_bytes = match self.framer.remaining_bytes() {
             Some(_) => wanted_bytes,
-            None => wanted_bytes
-                .max(2 * self.body_room_bytes)
-                .max(CHUNKED_ROOM_BYTES),
+            None => wanted_bytes.max(self.body_room_bytes + CHUNKED_ROOM_BYTES),
         };
         let added_bytes = usize::try_from(room_bytes - self.body_room_bytes).unwrap_or(usize::MAX);
         let copies = self.policy.body_copies();
@@ -658,7 +665,8 @@
             (None, _) => false,
         };
         match is_evicted {
-            true => Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into())),
+            // A handler that reads a body refuses the request for the true reason.
+            true => Poll::Ready(Err(io::Error::other(BudgetExhausted))),
             false => read,
         }
     }
@@ -670,6 +678,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        if let Some(error) = self.write_stall(cx) {
+            return Poll::Ready(Err(error));
+        }
         let Some(inner) = &mut self.inner else {
             return Poll::Ready(Err(io::ErrorKind::NotConnected.into()));
         };
@@ -683,6 +694,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        if let Some(error) = self.write_stall(cx) {
+            return Poll::Ready(Err(error));
+        }
         let Some(inner) = &mut self.inner else {
             return Poll::Ready(Err(io::ErrorKind::NotConnected.into()));
         };
