Keep slow bodies inside the limits; stop large responses at the bound

Cause: the time of a body began anew only after 4 KiB, so a small body sent at a few bytes a second was ended although it progressed. Complete responses that callers do not read could exceed the budget, as they are in memory before their room is held.

Change: the time of a body counts from its last byte; the 4 KiB decide only about who is disconnected. While the budget is exceeded, the costliest reader is disconnected and the gateway reads no more of large responses from instances.

--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -116,16 +116,17 @@
         header_codec: Arc<dyn HeaderCodec>,
         peer_directory: Arc<dyn PeerDirectory>,
     ) -> Self {
+        let clients = ClientBudget::new(ClientLimits::of(settings.machine));
         Self {
             live: ArcSwap::from_pointee(settings.live),
-            clients: ClientBudget::new(ClientLimits::of(settings.machine)),
             settings,
             header_codec,
             routing: ArcSwap::default(),
             view: ArcSwap::default(),
             roster: Mutex::default(),
             pool: Pool::default(),
-            large_bodies: LargeBodyPool::default(),
+            large_bodies: LargeBodyPool::new(clients.clone()),
+            clients,
             lifecycle: Lifecycle::default(),
             crash_log: Mutex::default(),
             named_limits: Mutex::default(),
--- a/crates/gateway/src/response/buffered.rs
+++ b/crates/gateway/src/response/buffered.rs
@@ -6,10 +6,14 @@
 
 use std::{
     future::poll_fn,
-    sync::atomic::{AtomicUsize, Ordering},
+    sync::{
+        atomic::{AtomicUsize, Ordering},
+        Arc,
+    },
 };
 
 use http::HeaderMap;
+use net::ClientBudget;
 
 use crate::upstream::{ExchangeError, Response};
 
@@ -25,10 +29,21 @@
 /// bytes.
 const LARGE_BODY_POOL_BYTES: usize = 16 << 20;
 
-/// Accounts for the memory of large response bodies that are being read.
-#[derive(Debug, Default)]
+/// Accounts for the memory of large response bodies that are being read. None grows
+/// while callers hold more than they may, as those that read slowly can.
+#[derive(Debug)]
 pub(crate) struct LargeBodyPool {
     used_bytes: AtomicUsize,
+    clients: Arc<ClientBudget>,
+}
+
+impl LargeBodyPool {
+    pub(crate) fn new(clients: Arc<ClientBudget>) -> Self {
+        Self {
+            used_bytes: AtomicUsize::new(0),
+            clients,
+        }
+    }
 }
 
 /// Memory taken from a [`LargeBodyPool`] by one response, returned on drop.
@@ -43,6 +58,9 @@
     fn grow(&mut self, body_bytes: usize) -> bool {
         let needed_bytes = body_bytes.saturating_sub(SMALL_BODY_BYTES);
         let added_bytes = needed_bytes.saturating_sub(self.taken_bytes);
+        if added_bytes > 0 && self.pool.clients.is_exceeded() {
+            return false;
+        }
         let used_bytes = &self.pool.used_bytes;
         let before_bytes = used_bytes.fetch_add(added_bytes, Ordering::Relaxed);
         if before_bytes + added_bytes > LARGE_BODY_POOL_BYTES {
--- a/crates/net/src/client_budget.rs
+++ b/crates/net/src/client_budget.rs
@@ -169,6 +169,13 @@
         }
     }
 
+    /// Returns whether clients hold more than they may, which responses that are
+    /// written can cause. The costliest client is disconnected then.
+    pub fn is_exceeded(&self) -> bool {
+        let is_exceeded = || self.used_bytes.load(Ordering::Relaxed) > self.limits.memory_bytes;
+        is_exceeded() && (!self.evict(Need::Memory) || is_exceeded())
+    }
+
     /// Publishes the metrics every second, and calls `on_limited` with the counts
     /// before and after a second in which a client was disconnected or refused. Never
     /// returns.
@@ -395,12 +402,6 @@
         }
     }
 
-    /// Returns the time without progress.
-    pub(crate) fn quiet(&self) -> Duration {
-        let progress_at_ms = self.client.progress_at_ms.load(Ordering::Relaxed);
-        Duration::from_millis(self.budget.now_ms().saturating_sub(progress_at_ms))
-    }
-
     /// Returns whether the client has to be disconnected.
     pub(crate) fn is_evicted(&self) -> bool {
         self.client.is_evicted.load(Ordering::Relaxed)
--- a/crates/net/src/connection_guard.rs
+++ b/crates/net/src/connection_guard.rs
@@ -19,7 +19,7 @@
     pin::Pin,
     sync::Arc,
     task::{ready, Context, Poll},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, FutureExt};
@@ -114,8 +114,8 @@
         self.stall_timeout()
     }
 
-    /// Returns the time without progress after which a body is no longer awaited;
-    /// `None` for no limit.
+    /// Returns the time without a byte after which a body is no longer awaited; `None`
+    /// for no limit.
     fn body_timeout(&self) -> Option<Duration> {
         None
     }
@@ -192,6 +192,7 @@
             head_has_room: false,
             body_room_bytes: 0,
             body_read_bytes: 0,
+            body_read_at: None,
             has_length: false,
         })
     }
@@ -209,8 +210,8 @@
         idle_timer: Option<Timer>,
         /// Timeout of the head, started by its first byte.
         head_timer: Option<Timer>,
-        /// Timeout of a body without progress, started by the first read of it that
-        /// has to wait.
+        /// Timeout of a body that stops, started by the first read of it that has to
+        /// wait.
         body_timer: Option<Timer>,
         /// Bytes of an interim response that are still to be written.
         interim_bytes: usize,
@@ -265,6 +266,8 @@
     body_room_bytes: u64,
     /// Bytes of the body and its framing that were passed on.
     body_read_bytes: u64,
+    /// Time of the last bytes of the body.
+    body_read_at: Option<Instant>,
     /// Whether the response that is being written has a length.
     has_length: bool,
 }
@@ -349,6 +352,7 @@
         self.head_has_room = false;
         self.body_room_bytes = 0;
         self.body_read_bytes = 0;
+        self.body_read_at = None;
         let Some(account) = &mut self.account else {
             return;
         };
@@ -481,6 +485,7 @@
     fn on_received(&mut self, bytes: usize, was_unstarted: bool, was_in_head: bool) {
         if !was_in_head {
             self.body_read_bytes += bytes as u64;
+            self.body_read_at = Some(Instant::now());
         }
         let Some(account) = &mut self.account else {
             return;
@@ -580,7 +585,7 @@
                 };
                 let timer = body_timer.get_or_insert_with(|| Timer::after(timeout));
                 while Pin::new(&mut *timer).poll(cx).is_ready() {
-                    let quiet = self.account.as_ref().map_or(timeout, ClientAccount::quiet);
+                    let quiet = self.body_read_at.map_or(timeout, |at| at.elapsed());
                     if quiet >= timeout {
                         return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
                     }
