--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -11,10 +11,11 @@
 
 use arc_swap::ArcSwap;
 use indexmap::{IndexMap, IndexSet};
-use net::Lifecycle;
+use net::{ClientBudget, Lifecycle};
 use peer_link::{PeerLink, UdpLink};
 use policy::{
     announcement::Announcements,
+    client_limits::ClientLimits,
     crash_evidence::{CrashLog, InstanceEnd, Suspect},
     named_limit::NamedLimits,
     placement::{Capacity, InstanceLoad, InstanceSpec, Placer},
@@ -87,6 +88,8 @@
     pub(crate) roster: Mutex<Roster>,
     pub(crate) pool: Pool,
     pub(crate) large_bodies: LargeBodyPool,
+    /// Memory and connections of the clients of both listeners.
+    pub(crate) clients: Arc<ClientBudget>,
     pub(crate) lifecycle: Lifecycle,
     pub(crate) crash_log: Mutex<CrashLog>,
     pub(crate) named_limits: Mutex<NamedLimits>,
@@ -122,6 +125,7 @@
         peer_directory: Arc<dyn PeerDirectory>,
         udp_link: Option<Arc<UdpLink>>,
     ) -> Self {
+        let clients = ClientBudget::new(ClientLimits::of(settings.machine));
         Self {
             live: ArcSwap::from_pointee(settings.live),
             settings,
@@ -130,7 +134,8 @@
             view: ArcSwap::default(),
             roster: Mutex::default(),
             pool: Pool::default(),
-            large_bodies: LargeBodyPool::default(),
+            large_bodies: LargeBodyPool::new(clients.clone()),
+            clients,
             lifecycle: Lifecycle::default(),
             crash_log: Mutex::default(),
             named_limits: Mutex::default(),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
+use policy::client_limits::Machine;
 use types::{InstanceId, ZoneName};
 
 use crate::live::LiveSettings;
@@ -48,4 +49,7 @@
     /// Without it, all instances of an upstream count as equal.
     #[builder(default = true)]
     pub learn_capacity: bool,
+    /// What the machine has for this process; its own limits by default.
+    #[builder(default = net::own_machine())]
+    pub machine: Machine,
 }
--- a/crates/limpetgw/src/cli/gateway.rs
+++ b/crates/limpetgw/src/cli/gateway.rs
@@ -6,7 +6,7 @@
 use gateway::{LiveSettings, RetryBound};
 
 use super::{
-    common::{check_addr, ProcessArgs},
+    common::{check_addr, MachineArgs, ProcessArgs},
     CliError,
 };
 
@@ -75,6 +75,8 @@
     cpu_share: f64,
     #[command(flatten)]
     process: ProcessArgs,
+    #[command(flatten)]
+    machine: MachineArgs,
 }
 
 impl GatewayArgs {
@@ -114,6 +116,7 @@
             .maybe_peer_listen(self.peer_listen)
             .strength((self.cpu_share * MILLI) as u32)
             .learn_capacity(!self.fixed_capacity)
+            .machine(self.machine.machine())
             .build();
         self.process.start(telemetry::LogOutput::Stdout);
         let result = gateway::run(settings, platform::adapter(&store_addr)).await;
--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -438,5 +438,18 @@
             concurrency_limit_before: u32,
         } = "The capacity that this gateway learned for an instance has changed by more than a fifth.",
             "Investigate the instance if it stays slow although its machine is as fast as the others.";
+        5080 Warn ClientsLimited {
+            /// Id of this process.
+            instance: InstanceId,
+            /// Clients that were disconnected to make room.
+            disconnected: u64,
+            /// Requests and connections for which there was no room.
+            refused: u64,
+            /// Memory that clients hold, in bytes.
+            held_bytes: usize,
+            /// Connections of clients.
+            connections: usize,
+        } = "In the last second the limits on all clients of this process were reached: the costliest clients were disconnected, and requests were refused without being run.",
+            "Find the clients that hold memory without progress; see `limpetgw_client_memory_bytes` by component.";
     }
 }
