--- a/crates/coord/src/ticket_lease/mod.rs
+++ b/crates/coord/src/ticket_lease/mod.rs
@@ -1,5 +1,5 @@
-//! A lease in a store that creates, replaces and lists objects, but has no
-//! conditional replace.
+//! A lease that needs no conditional replace of a store, only creates, replaces and
+//! lists of objects.
 //!
 //! A process that wants the lease creates an object of its own, a ticket. The
 //! store's revision of that creation orders the tickets and is the fencing token:
--- a/crates/gateway/src/duties/clock.rs
+++ b/crates/gateway/src/duties/clock.rs
@@ -9,11 +9,11 @@
 use types::TimeMs;
 
 /// Interval at which the detector looks at the clock.
-const TICK: Duration = Duration::from_millis(50);
+pub(super) const TICK: Duration = Duration::from_millis(50);
 
 /// Time without a tick after which the process counts as having been paused, in
 /// milliseconds. Small machines run a process late by 100 ms.
-const PAUSE_MIN_MS: u64 = 250;
+const PAUSE_MIN_MS: u64 = 300;
 
 /// Returns the time since the machine was started, including suspension.
 pub(crate) fn boot_now() -> TimeMs {
@@ -51,12 +51,4 @@
         self.tick(now);
         TimeMs(self.resumed_at_ms.load(Ordering::Relaxed))
     }
-
-    /// Looks at the clock periodically. Never returns.
-    pub(crate) async fn run(&self) {
-        loop {
-            self.tick(boot_now());
-            smol::Timer::after(TICK).await;
-        }
-    }
 }
--- a/crates/gateway/src/duties/exchange.rs
+++ b/crates/gateway/src/duties/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use futures_lite::FutureExt;
 use indexmap::IndexMap;
 use peer_link::{Peer, PeerLink, Subscriber, Topic};
 use policy::metering::Window;
@@ -52,6 +53,9 @@
 /// Interval between them.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(30);
 
+/// Longest time for it: less than what is left of the grace period at the exit.
+const FLUSH_MAX: Duration = Duration::from_millis(200);
+
 /// What was sent last.
 #[derive(Default)]
 struct Sent {
@@ -120,9 +124,15 @@
 /// Sends the last counts before the process exits. The process must count nothing
 /// any more.
 pub(crate) async fn flush_usage(app: &App) {
-    if app.duties.metering_settings().is_none() {
-        return;
+    let timer = async {
+        smol::Timer::after(FLUSH_MAX).await;
+    };
+    if app.duties.metering_settings().is_some() {
+        flush(app).or(timer).await;
     }
+}
+
+async fn flush(app: &App) {
     let now = boot_now();
     app.duties.with_metering(|metering| metering.close_all(now));
     if let Some(link) = app.peer_link() {
@@ -156,6 +166,12 @@
         sent.told_time_at = Some(now);
         broadcast(link, &DutyMessage::Time { at_unix_ms });
     }
+    let greeted = std::mem::take(&mut lock(&app.duties.view).greeted);
+    if let Some(payload) = encode(&DutyMessage::Time { at_unix_ms }) {
+        for peer in greeted {
+            link.send_to(&peer, Topic::Duty, &payload);
+        }
+    }
     let (own_token, own_ticket, reported_through) = {
         let view = lock(&app.duties.view);
         let own_ticket = view.own_ticket.clone();
@@ -188,9 +204,13 @@
 
 /// Tells all gateways that this one has given up the lease or can't renew it, so
 /// that they read it.
-pub(super) fn announce_release(app: &App, token: u64) {
+pub(super) fn announce_release(app: &App, token: u64, is_unreachable: bool) {
+    let message = DutyMessage::Released {
+        token,
+        is_unreachable,
+    };
     if let Some(link) = app.peer_link() {
-        broadcast(link.as_ref(), &DutyMessage::Released { token });
+        broadcast(link.as_ref(), &message);
     }
 }
 
@@ -314,9 +334,22 @@
         };
         let now = boot_now();
         match message {
-            DutyMessage::Time { at_unix_ms } => self.on_time(now, from, at_unix_ms),
-            DutyMessage::Released { token } => {
+            DutyMessage::Time { at_unix_ms } => {
+                self.on_time(now, from, at_unix_ms);
                 let mut view = lock(&self.0.duties.view);
+                let known = view.known_runs.insert(from.instance.clone(), from.run);
+                if known != Some(from.run) {
+                    view.greeted.push(from.instance.clone());
+                }
+            }
+            DutyMessage::Released {
+                token,
+                is_unreachable,
+            } => {
+                let mut view = lock(&self.0.duties.view);
+                if is_unreachable {
+                    view.other_yielded_at = Some(now);
+                }
                 if view
                     .heard
                     .as_ref()
--- a/crates/gateway/src/duties/holder.rs
+++ b/crates/gateway/src/duties/holder.rs
@@ -57,8 +57,9 @@
 const YIELDED_STAGGER_MS: u64 = 4_000;
 
 /// Time after a call without an answer before the lease is released, in
-/// milliseconds: the call may still arrive.
-const RELEASE_DELAY_MS: u64 = 1_500;
+/// milliseconds: the call may still arrive. The next holder waits, too, where the
+/// platform does not check the token.
+const RELEASE_DELAY_MS: u64 = 500;
 
 /// Time added to the thaw time, within which calls do not count.
 const THAW_MARGIN_MS: u64 = 50;
@@ -67,6 +68,10 @@
 /// arrived during the thaw, so that it is repeated, in milliseconds.
 const DOUBTFUL_MS: u64 = 2_000;
 
+/// Time for which pauses may delay a report, in milliseconds. An overloaded machine
+/// pauses the process all the time; a report that is sent then is repeated.
+const PAUSED_MAX_MS: u64 = 1_500;
+
 /// Time for which fixed counts are kept in the store, in milliseconds: far longer
 /// than any window is reported.
 const FIXED_KEPT_MS: u64 = 300_000;
@@ -132,6 +137,8 @@
     backoff: SendBackoff,
     /// Time before which nothing is fixed or sent.
     work_from: TimeMs,
+    /// Time of the first pause since the last report.
+    paused_since: Option<TimeMs>,
     /// Window whose report was confirmed, but may have arrived during a thaw.
     doubtful: Option<Window>,
 }
@@ -276,6 +283,13 @@
         self.yielded_at.is_some_and(|at| now.since(at) < YIELDED_MS)
     }
 
+    /// Returns whether another holder has yielded recently: the API is out of reach
+    /// for more than one gateway, so another change of the holder would not help.
+    fn has_other_yielded(&self, now: TimeMs) -> bool {
+        let other_yielded_at = lock(&self.app.duties.view).other_yielded_at;
+        other_yielded_at.is_some_and(|at| now.since(at) < YIELDED_MS)
+    }
+
     /// Returns whether no call of this process can arrive any more.
     fn may_release(&self, now: TimeMs) -> bool {
         self.unanswered_at
@@ -291,7 +305,10 @@
         self.disturbed_at = Some(resumed_at);
         let work_from = resumed_at + self.thaw_ms();
         if let Some(held) = &mut self.held {
-            held.work_from = held.work_from.max(work_from);
+            let paused_since = *held.paused_since.get_or_insert(resumed_at);
+            if resumed_at.since(paused_since) < PAUSED_MAX_MS {
+                held.work_from = held.work_from.max(work_from);
+            }
         }
     }
 
@@ -377,7 +394,7 @@
         view.own_ticket = ticket;
         drop(view);
         if let Some(token) = token.filter(|_| is_lost) {
-            announce_release(&self.app, token);
+            announce_release(&self.app, token, false);
         }
     }
 
@@ -390,7 +407,10 @@
         });
         metrics::gauge!("limpetgw_duties_held").set(0.0);
         lock(&self.app.duties.view).own_token = None;
-        announce_release(&self.app, token);
+        let has_just_yielded = self
+            .yielded_at
+            .is_some_and(|at| boot_now().since(at) < YIELDED_STAGGER_MS);
+        announce_release(&self.app, token, has_just_yielded);
     }
 
     /// Reads what earlier holders have fixed. Without an answer the duties wait.
@@ -428,6 +448,7 @@
             fixed: IndexMap::new(),
             backoff: SendBackoff::default(),
             work_from: TimeMs(0),
+            paused_since: None,
             doubtful: None,
         };
         let now_unix_ms = self.unix_ms(boot_now());
@@ -575,6 +596,7 @@
             holder: self.app.settings.instance.clone(),
             token: permit.fencing,
         };
+        let sent_at = now;
         let api = self.api.clone();
         let call = api.report_usage(&caller, window, counts);
         let result = before(permit.finish_by, call).await;
@@ -582,7 +604,12 @@
         self.follow_pauses(now);
         match result {
             Ok(()) => self.on_confirmed(now, window, permit.fencing),
-            Err(error) => self.on_send_failed(now, window, &error),
+            Err(error) => {
+                if matches!(error, DutyError::Unanswered(_)) {
+                    self.unreachable_since.get_or_insert(sent_at);
+                }
+                self.on_send_failed(now, window, &error);
+            }
         }
     }
 
@@ -623,9 +650,11 @@
         if matches!(error, DutyError::Unanswered(_)) {
             self.disturbed_at = Some(now);
             self.unanswered_at = Some(now);
-            let since = *self.unreachable_since.get_or_insert(now);
-            let is_unreachable = now.since(since) >= UNREACHABLE_MS;
-            self.is_yielding = is_unreachable && !self.has_yielded(now);
+            let is_unreachable = self
+                .unreachable_since
+                .is_some_and(|since| now.since(since) >= UNREACHABLE_MS);
+            self.is_yielding =
+                is_unreachable && !self.has_yielded(now) && !self.has_other_yielded(now);
         } else {
             self.unreachable_since = None;
         }
@@ -655,6 +684,7 @@
         };
         held.plan.on_done(window);
         held.doubtful = None;
+        held.paused_since = None;
         let kept = FIXED_KEPT_MS / self.timing.window_ms;
         let expired: Vec<Window> = held
             .fixed
--- a/crates/gateway/src/duties/messages.rs
+++ b/crates/gateway/src/duties/messages.rs
@@ -35,7 +35,11 @@
         acknowledged: Vec<u32>,
     },
     /// The sender has given up the lease, or can't renew it.
-    Released { token: u64 },
+    Released {
+        token: u64,
+        /// Whether the platform's API is out of the sender's reach.
+        is_unreachable: bool,
+    },
     /// The sender tells its time.
     Time { at_unix_ms: u64 },
 }
--- a/crates/gateway/src/duties/mod.rs
+++ b/crates/gateway/src/duties/mod.rs
@@ -13,9 +13,13 @@
 mod metering;
 mod settings;
 
-use std::sync::{Arc, Mutex};
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use arc_swap::ArcSwapOption;
+use indexmap::IndexMap;
 use policy::metering::Window;
 use smol::channel::{Receiver, Sender};
 use telemetry::{emit, events::GatewayEvent};
@@ -31,6 +35,9 @@
 pub use metering::UsageRecord;
 pub use settings::DutySettings;
 
+/// Interval at which a process without duties looks for them.
+const NO_DUTIES_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The holder of the lease as heard through the link.
 #[derive(Clone, Debug, PartialEq)]
 struct HeardHolder {
@@ -51,6 +58,12 @@
     reported_through: Option<Window>,
     /// Time at which the holder last acknowledged the usage of this run.
     acknowledged_at: Option<TimeMs>,
+    /// Runs of peers that have told their time, and those that the own time is to be
+    /// told, because they have just started.
+    known_runs: IndexMap<InstanceId, u64>,
+    greeted: Vec<InstanceId>,
+    /// Time at which another holder yielded, because the API was out of its reach.
+    other_yielded_at: Option<TimeMs>,
     /// Whether the holder was heard to have given up the lease.
     is_released: bool,
 }
@@ -158,7 +171,14 @@
     }
 }
 
-/// Looks for pauses of the process. Never returns.
+/// Looks for pauses of the process while there are duties. Never returns.
 pub(crate) async fn detect_pauses(app: Arc<App>) {
-    app.duties.pauses.run().await;
+    loop {
+        if app.duties.metering_settings().is_some() {
+            app.duties.pauses.tick(boot_now());
+            smol::Timer::after(clock::TICK).await;
+        } else {
+            smol::Timer::after(NO_DUTIES_INTERVAL).await;
+        }
+    }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,7 +33,9 @@
 };
 pub use feed::{Feed, FeedEntry, Listing, WatchResult};
 pub use header_codec::{HeaderCodec, RequestMeta, ResponseMeta, UpstreamRequestMeta};
-pub use live::{read_settings_file, FileSettings, LiveSettings, SettingsFileError};
+pub use live::{
+    read_settings_file, DutyNames, FileSettings, Flag, LiveSettings, SettingsFileError,
+};
 pub use peers::{PeerDirectory, PeerRecord, PeerReport};
 pub use server::{start, DrainHandle, PlatformAdapter, Running};
 pub use settings::{RetryBound, Settings};
--- a/crates/gateway/src/live.rs
+++ b/crates/gateway/src/live.rs
@@ -38,9 +38,9 @@
     pub platform_api: Option<String>,
     /// Names of the duties; unknown ones are ignored.
     #[serde(default)]
-    pub duties: Vec<String>,
+    pub duties: DutyNames,
     /// Whether the platform refuses calls with an outdated fencing token.
-    pub fence_checked: Option<bool>,
+    pub fence_checked: Option<Flag>,
     /// Duration of the lease of the duties, in milliseconds.
     pub lease_ms: Option<f64>,
     /// Time after a pause or a cut within which calls do not count, in milliseconds.
@@ -51,6 +51,48 @@
     pub usage_late_s: Option<f64>,
 }
 
+/// Names of duties, as a list or as text with commas or blanks between them.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[serde(untagged)]
+pub enum DutyNames {
+    /// A list.
+    List(Vec<String>),
+    /// A text.
+    Text(String),
+    /// No value.
+    #[default]
+    None,
+}
+
+impl DutyNames {
+    fn contains(&self, name: &str) -> bool {
+        match self {
+            Self::List(names) => names.iter().any(|other| other == name),
+            Self::Text(text) => text.split([',', ' ']).any(|other| other == name),
+            Self::None => false,
+        }
+    }
+}
+
+/// A truth value, also as a number.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(untagged)]
+pub enum Flag {
+    /// A truth value.
+    Bool(bool),
+    /// A number; 0 is false.
+    Number(f64),
+}
+
+impl Flag {
+    fn is_true(self) -> bool {
+        match self {
+            Self::Bool(value) => value,
+            Self::Number(value) => value != 0.0,
+        }
+    }
+}
+
 /// Reloadable settings in force.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LiveSettings {
@@ -124,8 +166,8 @@
             return Ok(None);
         };
         let mut settings = DutySettings::new(platform_api.as_str().into());
-        settings.has_metering = self.duties.iter().any(|duty| duty == METERING);
-        settings.is_fence_checked = self.fence_checked.unwrap_or(false);
+        settings.has_metering = self.duties.contains(METERING);
+        settings.is_fence_checked = self.fence_checked.is_some_and(Flag::is_true);
         let ms = |value: f64| Duration::from_secs_f64(value / MS_PER_S);
         if let Some(lease_ms) = validate_positive("lease_ms", self.lease_ms)? {
             settings.lease = ms(lease_ms);
--- a/crates/policy/src/metering/report.rs
+++ b/crates/policy/src/metering/report.rs
@@ -9,7 +9,7 @@
 
 /// Shortest and longest wait before a report is sent again, in milliseconds. All
 /// gateways share 50 calls per second, and one gateway sends at a time.
-const BACKOFF_MS: std::ops::RangeInclusive<u64> = 100..=1_600;
+const BACKOFF_MS: std::ops::RangeInclusive<u64> = 100..=800;
 
 /// What the holder does next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
