--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -391,8 +391,8 @@
         }
     }
 
-    /// Applies the totals of another entry, and returns whether they are newer
-    /// than those known.
+    /// Applies the totals of another entry. Older ones than those known have no
+    /// effect.
     pub fn on_peer_totals(
         &mut self,
         now: TimeMs,
