--- a/crates/gateway/src/app.rs
+++ b/crates/gateway/src/app.rs
@@ -17,7 +17,7 @@
     announcement::Announcements,
     crash_evidence::{CrashLog, InstanceEnd, Suspect},
     named_limit::NamedLimits,
-    placement::{Capacity, InstanceSpec, Placer},
+    placement::{Capacity, InstanceLoad, InstanceSpec, Placer},
     retry::WindowedRetryBudget,
     roster::{Member, Roster},
 };
@@ -29,6 +29,7 @@
     duties::Duties,
     header_codec::HeaderCodec,
     live::LiveSettings,
+    load_exchange::{LoadExchange, LoadKeys},
     peers::{PeerDirectory, PeerExchange},
     response::LargeBodyPool,
     routing::Routing,
@@ -54,6 +55,7 @@
     addrs: IndexMap<InstanceId, Arc<str>>,
     upstreams: IndexMap<InstanceId, UpstreamName>,
     incarnations: IndexMap<InstanceId, u64>,
+    pub(crate) load_keys: LoadKeys,
 }
 
 impl RosterView {
@@ -96,6 +98,7 @@
     pub(crate) peer_directory: Arc<dyn PeerDirectory>,
     /// Link to other gateways, with its bootstrapping; `None` if not enabled.
     pub(crate) udp_link: Option<Arc<UdpLink>>,
+    pub(crate) load_exchange: LoadExchange,
     pub(crate) duties: Duties,
     /// Wakes the maintenance after a change of the roster.
     pub(crate) maintenance_due: (Sender<()>, Receiver<()>),
@@ -136,6 +139,7 @@
             peers: PeerExchange::default(),
             peer_directory,
             udp_link,
+            load_exchange: LoadExchange::default(),
             duties: Duties::default(),
             maintenance_due: smol::channel::bounded(1),
             placers: Mutex::default(),
@@ -195,7 +199,37 @@
         change: impl FnOnce(&mut Placer) -> T,
     ) -> T {
         let mut placers = lock(&self.placers);
-        change(placers.entry(upstream.clone()).or_default())
+        let placer = placers.entry(upstream.clone());
+        change(placer.or_insert_with(|| self.new_placer()))
+    }
+
+    fn new_placer(&self) -> Placer {
+        let mut placer = Placer::default();
+        if let Some(link) = &self.udp_link {
+            placer.count_peers(link.endpoint().run);
+            placer.set_sees_fleet(self.load_exchange.sees_fleet());
+        }
+        placer
+    }
+
+    /// Runs `visit` on all placers, whose lock it holds meanwhile.
+    pub(crate) fn for_each_placer(&self, mut visit: impl FnMut(&UpstreamName, &mut Placer)) {
+        for (upstream, placer) in lock(&self.placers).iter_mut() {
+            visit(upstream, placer);
+        }
+    }
+
+    /// Replaces the load of other gateways at these instances.
+    pub(crate) fn set_peer_loads<'a>(
+        &self,
+        loads: impl Iterator<Item = (&'a UpstreamName, &'a InstanceId, InstanceLoad)>,
+    ) {
+        let mut placers = lock(&self.placers);
+        for (upstream, instance, load) in loads {
+            if let Some(placer) = placers.get_mut(upstream) {
+                placer.set_peer_load(instance, load);
+            }
+        }
     }
 
     /// Runs `change` on the retry budget of an upstream, which is created on
@@ -277,10 +311,15 @@
                 .iter()
                 .map(|member| instance_spec(member, memory_tokens))
                 .collect();
-            placers.entry(upstream).or_default().set_members(&specs);
+            let placer = placers.entry(upstream);
+            placer
+                .or_insert_with(|| self.new_placer())
+                .set_members(&specs);
             view.usable += members.len();
             for member in members {
                 let incarnation = member.incarnation;
+                view.load_keys
+                    .add(&member.upstream, &member.instance, incarnation);
                 view.incarnations
                     .insert(member.instance.clone(), incarnation);
                 view.upstreams
@@ -291,6 +330,7 @@
         let view = Arc::new(view);
         self.view.store(view.clone());
         drop(placers);
+        self.apply_all_loads();
         let is_listed = |instance: &InstanceId, incarnation: u64| {
             view.incarnation(instance) == Some(incarnation)
         };
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -18,21 +18,28 @@
 mod lanes;
 mod lateness;
 mod overload;
+mod remote_load;
 
 use std::sync::Arc;
 
 use indexmap::IndexMap;
-use types::{InstanceId, TimeMs};
+use rapidhash::v3::rapidhash_v3;
+use types::{InstanceId, Priority, TimeMs};
 
 pub use instance::{Capacity, Ticket};
-pub use lanes::LaneSplit;
+pub use lanes::{LaneSplit, LaneTotals};
 pub use overload::{Overload, Urgency};
+pub use remote_load::{
+    InstanceKey, InstanceLoad, LoadReport, PeerLoads, QueueTotals, UpstreamTotals, RANKS,
+    VALUE_TTL_MS,
+};
 
 use home::home_ranks;
 use instance::TrackedInstance;
 use lanes::{ByLane, Lane, Lanes};
 use lateness::Lateness;
 use overload::OverloadControl;
+use remote_load::PeerTotals;
 
 /// A contiguous part of a prompt, such as a system prompt or a document.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,6 +65,8 @@
     /// Target for the longest pause between two events, in milliseconds; 0 if
     /// the answer is not a stream.
     pub pause_target_ms: u32,
+    /// Priority, `u8::MAX` for the most urgent rank; see [`RANKS`].
+    pub priority: Priority,
 }
 
 impl Demand {
@@ -126,6 +135,15 @@
     /// Lateness over all instances, per lane. Long prompts wait behind short
     /// ones, so the long lane may be late while the short one is on time.
     lane_lateness: ByLane<Lateness>,
+    /// Whether own waiting requests and the load of other entries count.
+    counts_peers: bool,
+    /// Number that differs between entries, from which they draw.
+    salt: u64,
+    /// Requests sent, of which each has its own draw.
+    sent: u64,
+    /// Whether the load of all entries is known.
+    sees_fleet: bool,
+    peer_totals: PeerTotals,
 }
 
 impl Placer {
@@ -146,6 +164,16 @@
     /// longer.
     const REDUNDANT_PREFILL_LATENESS_MS: f64 = 100.0;
 
+    /// Share of its target within which an idle instance serves a prompt, so that
+    /// it is not refused while others wait: the wait behind half a long prompt and
+    /// the time to read a common one. With 0.3 and more, entries that hear of each
+    /// other late admit too many (docs/design/shared-load.md).
+    const IDLE_TARGET_SHARE: f64 = 0.2;
+
+    /// Range of the draw among plain instances: the cost of two running calls at an
+    /// instance of six slots.
+    const SPREAD_MS: f64 = 10.0;
+
     /// Weight of one observation in the lateness over all instances, which thus
     /// covers about twenty answers.
     const LATENESS_WEIGHT: f64 = 0.08;
@@ -179,6 +207,9 @@
                 .filter(|tracked| tracked.incarnation() == member.incarnation);
             let mut tracked = existing.unwrap_or_else(|| TrackedInstance::new(member));
             tracked.set_capacity(member.capacity);
+            tracked
+                .ranked_mut()
+                .set_modes(self.counts_peers, self.sees_fleet);
             self.instances.insert(member.instance.clone(), tracked);
         }
         self.lanes.set_instances(self.instances.keys());
@@ -195,9 +226,16 @@
     ) -> Option<Overload> {
         match Lane::of(demand) {
             Lane::Short => None,
-            Lane::Long => self
-                .overload_control
-                .overload(now, urgency, demand.target_ms),
+            Lane::Long => {
+                let overload = self.overload_control.overload(
+                    now,
+                    urgency,
+                    demand.target_ms,
+                    &self.peer_totals,
+                )?;
+                let can_serve = !self.peer_totals.is_empty() && self.has_idle_instance(now, demand);
+                (!can_serve).then_some(overload)
+            }
         }
     }
 
@@ -221,7 +259,12 @@
         exclude: &[InstanceId],
         usable: impl Fn(&TrackedInstance) -> bool,
     ) -> Option<Placement> {
-        let lateness_ms = self.overall_lateness_ms(now);
+        let lateness_ms = match self.sees_fleet {
+            true => self
+                .overall_lateness_ms(now)
+                .max(self.lane_wait_ms(now, demand)),
+            false => self.overall_lateness_ms(now),
+        };
         let excess_lateness_ms = (lateness_ms - Self::SPARE_CAPACITY_LATENESS_MS).max(0.0);
         let redundant_prefill_weight = Self::REDUNDANT_PREFILL_WEIGHT
             + excess_lateness_ms / Self::REDUNDANT_PREFILL_LATENESS_MS;
@@ -253,8 +296,9 @@
                 true => 0.0,
                 false => Lanes::other_lane_penalty_ms(lane),
             };
-            let cost = predicted_ms
+            let cost = predicted_ms.max(tracked.oldest_wait_ms(now, demand))
                 + redundant_prefill_weight * tracked.redundant_prefill_ms(demand, cached_tokens)
+                + self.spread_ms(instance, demand)
                 + Self::HOME_RANK_PENALTY_MS * home_rank.min(2) as f64
                 + other_lane_penalty_ms;
             if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
@@ -271,6 +315,125 @@
         best.map(|(_, placement)| placement)
     }
 
+    /// Returns whether a usable instance of the prompt's lane would serve it well
+    /// within its target, by the load of all entries. The queues of the upstream may
+    /// be long meanwhile if most of it waits at a few instances.
+    fn has_idle_instance(&self, now: TimeMs, demand: &Demand) -> bool {
+        let lane = Lane::of(demand);
+        let lane_lateness_ms = self.lane_lateness_ms(now, lane);
+        let limit_ms = Self::IDLE_TARGET_SHARE * f64::from(demand.target_ms);
+        let instances = self.instances.iter().enumerate();
+        let usable: Vec<(&InstanceId, &TrackedInstance)> = instances
+            .filter(|(index, (_, tracked))| {
+                tracked.is_usable(now) && self.lanes.is_own_lane(*index, lane)
+            })
+            .map(|(_, named)| named)
+            .collect();
+        let names = usable.iter().map(|(name, _)| (*name, true));
+        let ranks = home_ranks(names, demand.shared());
+        usable.iter().zip(ranks).any(|((_, tracked), home_rank)| {
+            let cached_tokens = tracked.cached_tokens(now, demand, home_rank);
+            let predicted_ms = tracked.predicted_ms(now, demand, cached_tokens, lane_lateness_ms);
+            predicted_ms.max(tracked.oldest_wait_ms(now, demand)) < limit_ms
+        })
+    }
+
+    /// Returns the mean predicted wait over the instances of the prompt's lane, as if
+    /// the prompt were cached there.
+    fn lane_wait_ms(&self, now: TimeMs, demand: &Demand) -> f64 {
+        let lane = Lane::of(demand);
+        let instances = self.instances.values().enumerate();
+        let own = instances.filter(|(index, _)| self.lanes.is_own_lane(*index, lane));
+        let waits =
+            own.map(|(_, tracked)| tracked.predicted_ms(now, demand, demand.prompt_tokens, 0.0));
+        let (sum, count) = waits.fold((0.0, 0), |(sum, count), wait| (sum + wait, count + 1));
+        sum / f64::from(count.max(1))
+    }
+
+    /// Returns a cost that is drawn for each call to a plain service and instance.
+    /// Without it, entries with few calls send all of them to the instance that is
+    /// first in the list. The calls of other entries are not counted: they end before
+    /// a report of them arrives, and all entries would follow the same report.
+    fn spread_ms(&self, instance: &InstanceId, demand: &Demand) -> f64 {
+        if !self.counts_peers || !demand.parts.is_empty() {
+            return 0.0;
+        }
+        let seed = [self.salt.to_le_bytes(), self.sent.to_le_bytes()].concat();
+        let draw = rapidhash_v3(&[&seed, instance.as_str().as_bytes()].concat());
+        Self::SPREAD_MS * draw as f64 / u64::MAX as f64
+    }
+
+    /// Takes the own requests that wait at an instance as evidence of the wait there,
+    /// from now on, and counts the load of other entries where it is known.
+    /// Calls to plain services draw among instances of nearly the same load; `salt`
+    /// must differ between entries.
+    pub fn count_peers(&mut self, salt: u64) {
+        self.counts_peers = true;
+        self.salt = salt;
+        self.apply_modes();
+    }
+
+    /// Records whether the load of all entries is known: there are no others, or
+    /// they report it. Only then are waits predicted by rank and redundant prefill
+    /// weighed by the queues: the lateness of first events, which stands for the
+    /// load of the others, is not known by rank.
+    pub fn set_sees_fleet(&mut self, sees_fleet: bool) {
+        if self.sees_fleet != sees_fleet {
+            self.sees_fleet = sees_fleet;
+            self.apply_modes();
+        }
+    }
+
+    fn apply_modes(&mut self) {
+        let (counts_peers, sees_fleet) = (self.counts_peers, self.sees_fleet);
+        for tracked in self.instances.values_mut() {
+            tracked.ranked_mut().set_modes(counts_peers, sees_fleet);
+        }
+    }
+
+    /// Applies the totals of another entry, and returns whether they are newer
+    /// than those known.
+    pub fn on_peer_totals(
+        &mut self,
+        now: TimeMs,
+        entry: &InstanceId,
+        run: u64,
+        totals: &UpstreamTotals,
+    ) {
+        if let Some(change) = self.peer_totals.replace(now, entry, run, totals) {
+            self.lanes.record_peer(now, &change.lanes);
+            let prefilled_tokens = change.queue.prefilled_tokens;
+            self.overload_control
+                .on_peer_prefilled(now, prefilled_tokens);
+        }
+    }
+
+    /// Removes expired totals of other entries.
+    pub fn expire_peer_totals(&mut self, now: TimeMs) {
+        self.peer_totals.expire(now);
+    }
+
+    /// Returns the totals of this entry.
+    pub fn own_totals(&self) -> UpstreamTotals {
+        UpstreamTotals {
+            queue: self.overload_control.own_queue(),
+            lanes: self.lanes.own_totals(),
+        }
+    }
+
+    /// Replaces the load of all other entries at an instance.
+    pub fn set_peer_load(&mut self, instance: &InstanceId, load: InstanceLoad) {
+        if let Some(tracked) = self.instances.get_mut(instance) {
+            tracked.ranked_mut().set_peers(load);
+        }
+    }
+
+    /// Returns the load of this entry at the instances at which it has any.
+    pub fn own_loads(&self) -> impl Iterator<Item = (InstanceKey, InstanceLoad)> + '_ {
+        let loads = self.instances.values().map(TrackedInstance::own_load);
+        loads.filter(|(_, load)| !load.is_zero())
+    }
+
     /// Returns the current division of the instances between short and long
     /// prompts.
     pub fn lane_split(&self) -> LaneSplit {
@@ -280,6 +443,7 @@
     /// Records that a request was sent as placed. The caller passes the ticket
     /// to [`Placer::on_end`] when the request ends.
     pub fn on_sent(&mut self, now: TimeMs, demand: &Demand, placement: &Placement) -> Ticket {
+        self.sent += 1;
         if !demand.parts.is_empty() {
             self.lanes.record_prompt(now, demand);
         }
