Client limits: bodies after an interim response, useless evictions, slow readers

Cause, from a review: an interim response counted as the response, so that a client that stopped after `100 Continue` could never be disconnected; a request that had to be refused anyway disconnected up to nine clients; a caller that reads a complete response slowly but steadily could be cut, because the kernel reports room only once a third of its buffer is free.

Change: an interim response leaves the client sending; after one disconnected client the request is refused if more can't help; the write of a complete response is tried before its time-out counts.

--- a/crates/net/src/client_budget.rs
+++ b/crates/net/src/client_budget.rs
@@ -234,6 +234,14 @@
     }
 
     /// Returns whether another connection may be open. An eighth of the limit, and at
+    /// Returns whether disconnecting a client can make room for `added_bytes` more.
+    fn eviction_helps(&self, held_bytes: usize, added_bytes: usize) -> bool {
+        let used_bytes = self.used_bytes.load(Ordering::Relaxed);
+        let leaving_bytes = self.leaving_bytes.load(Ordering::Relaxed);
+        self.limits
+            .eviction_helps(used_bytes, leaving_bytes, held_bytes, added_bytes)
+    }
+
     /// least one, is lent against connections that are being closed.
     fn has_connection(&self) -> bool {
         let open = lock(&self.clients).len();
@@ -251,7 +259,7 @@
             let leaving_bytes = self.leaving_bytes.load(Ordering::Relaxed);
             self.limits
                 .admits(used_bytes, leaving_bytes, held_bytes, added_bytes)
-                .then_some(used_bytes + added_bytes)
+                .then(|| used_bytes + added_bytes)
         };
         self.used_bytes
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, update)
@@ -319,7 +327,8 @@
                 self.add(component, bytes);
                 return Ok(());
             }
-            if !self.budget.evict(need) {
+            // One client is disconnected in any case: it makes room for later requests.
+            if !self.budget.evict(need) || !self.budget.eviction_helps(held_bytes, bytes) {
                 break;
             }
         }
--- a/crates/net/src/connection_guard.rs
+++ b/crates/net/src/connection_guard.rs
@@ -306,6 +306,12 @@
     /// the caller reads none.
     fn write_stall(&mut self, cx: &mut Context<'_>) -> Option<io::Error> {
         let timer = self.write_stall_timer.as_mut()?;
+        // The write of a complete response is tried first: the kernel reports room
+        // only once a third of its buffer is free, so that a client that reads
+        // slowly would seem to have stopped.
+        if self.has_length {
+            return None;
+        }
         let is_over = Pin::new(timer).poll(cx).is_ready();
         is_over.then(|| io::ErrorKind::TimedOut.into())
     }
@@ -313,24 +319,32 @@
     /// Records the result of a write of `bytes`: of the response, or of an interim
     /// response, after which the request goes on.
     fn on_written(&mut self, bytes: &[u8], wrote: &Poll<io::Result<usize>>) {
+        let mut is_interim = false;
+        let mut begins = false;
+        if let Phase::Requesting { interim_bytes, .. } = &mut self.phase {
+            if bytes.starts_with(INTERIM_STATUS) {
+                *interim_bytes = bytes.len();
+            } else if bytes.starts_with(STATUS_LINE_START) {
+                *interim_bytes = 0;
+            }
+            is_interim = *interim_bytes > 0;
+            begins = !is_interim;
+            if let (true, Poll::Ready(Ok(count))) = (is_interim, wrote) {
+                *interim_bytes = interim_bytes.saturating_sub(*count);
+            }
+        }
         if let (Poll::Ready(Ok(count)), Some(account)) = (wrote, &mut self.account) {
             account.on_moved(*count);
-            account.set_activity(Activity::Waiting);
-        }
-        let Phase::Requesting { interim_bytes, .. } = &mut self.phase else {
-            return;
-        };
-        if bytes.starts_with(INTERIM_STATUS) {
-            *interim_bytes = bytes.len();
-        } else if bytes.starts_with(STATUS_LINE_START) {
-            *interim_bytes = 0;
+            // The client sends its body after an interim response.
+            account.set_activity(match is_interim {
+                true => Activity::Sending,
+                false => Activity::Waiting,
+            });
         }
-        if *interim_bytes == 0 {
+        if begins {
             self.responses += 1;
             self.phase = Phase::Responding;
             self.on_response(bytes);
-        } else if let Poll::Ready(Ok(count)) = wrote {
-            *interim_bytes = interim_bytes.saturating_sub(*count);
         }
     }
 
--- a/crates/net/tests/client_budget.rs
+++ b/crates/net/tests/client_budget.rs
@@ -168,6 +168,23 @@
     assert_eq!(budget.counts().evicted, 1);
 }
 
+/// Guards against a body that can't be disconnected because the interim response that
+/// asked for it counts as the response.
+#[test]
+fn stopped_body_after_interim_response_makes_room_for_another() {
+    let (addr, budget) = start_server(8);
+    let fields = format!("expect: 100-continue\r\n{}", length(500 * KIB));
+    let mut stopped = send(addr, &fields, b"");
+    assert_eq!(status(&mut stopped), 100);
+    let body = vec![b'x'; 450 * KIB];
+    thread::sleep(QUIET_TIME * 3 / 4);
+
+    let mut next = send(addr, &length(body.len()), &body);
+
+    assert_eq!(status(&mut next), 200);
+    assert_eq!(budget.counts().evicted, 1);
+}
+
 /// Guards against a body that stops and is awaited without bound.
 #[test]
 fn body_without_progress_times_out() {
--- a/crates/policy/src/client_limits.rs
+++ b/crates/policy/src/client_limits.rs
@@ -92,14 +92,35 @@
         held_bytes: usize,
         added_bytes: usize,
     ) -> bool {
-        let kept_bytes = match held_bytes + added_bytes > SMALL_CLIENT_BYTES {
+        let wanted_bytes = self.wanted_bytes(used_bytes, held_bytes, added_bytes);
+        wanted_bytes <= self.memory_bytes
+            && self.eviction_helps(used_bytes, leaving_bytes, held_bytes, added_bytes)
+    }
+
+    /// Returns whether disconnecting clients can make room for `added_bytes`. It
+    /// turns used memory into leaving memory, so that it can't where their sum is
+    /// too high.
+    pub fn eviction_helps(
+        &self,
+        used_bytes: usize,
+        leaving_bytes: usize,
+        held_bytes: usize,
+        added_bytes: usize,
+    ) -> bool {
+        self.wanted_bytes(used_bytes, held_bytes, added_bytes)
+            .saturating_add(leaving_bytes)
+            <= self.memory_bytes + self.memory_bytes / 8
+    }
+
+    /// Returns the memory that would be in use, with what is kept for small clients.
+    fn wanted_bytes(&self, used_bytes: usize, held_bytes: usize, added_bytes: usize) -> usize {
+        let kept_bytes = match held_bytes.saturating_add(added_bytes) > SMALL_CLIENT_BYTES {
             true => self.memory_bytes / 8,
             false => 0,
         };
-        let wanted_bytes = used_bytes.saturating_add(added_bytes + kept_bytes);
-        wanted_bytes <= self.memory_bytes
-            && wanted_bytes.saturating_add(leaving_bytes)
-                <= self.memory_bytes + self.memory_bytes / 8
+        used_bytes
+            .saturating_add(added_bytes)
+            .saturating_add(kept_bytes)
     }
 }
 
--- a/crates/policy/tests/client_limits.rs
+++ b/crates/policy/tests/client_limits.rs
@@ -59,6 +59,16 @@
     assert!(!limits.admits(0, 2 * limits.memory_bytes, 0, 16 << 10));
 }
 
+/// Guards against clients that are disconnected for a request that is refused anyway.
+#[test]
+fn disconnecting_does_not_help_once_too_much_is_lent() {
+    let limits = ClientLimits::of(machine(120, 3_075));
+    let lent_bytes = limits.memory_bytes / 8;
+
+    assert!(limits.eviction_helps(limits.memory_bytes, 0, 0, 16 << 10));
+    assert!(!limits.eviction_helps(limits.memory_bytes, lent_bytes, 0, 16 << 10));
+}
+
 #[rstest]
 #[case::most_bytes_times_time(Need::Memory,
     &[state(Activity::Sending, 4 * MIB, 900), state(Activity::Sending, MIB, 3_000)], Some(0))]
