Lease: a second takeover does not start anew

Change: a vanished ticket that is older than one that was held does not count as renewed; an announcement older than the last list is ignored.

--- a/crates/coord/src/ticket_lease/machine.rs
+++ b/crates/coord/src/ticket_lease/machine.rs
@@ -130,6 +130,8 @@
     reported_through: Option<u64>,
     read_at: TimeMs,
     has_listed: bool,
+    /// Highest revision of a ticket in any list.
+    listed_revision: u64,
     /// Time before which no permit is given.
     permits_from: TimeMs,
     may_contend: bool,
@@ -165,6 +167,7 @@
             reported_through: None,
             read_at: TimeMs(0),
             has_listed: false,
+            listed_revision: 0,
             permits_from: TimeMs(0),
             may_contend: true,
             contend_from: TimeMs(0),
@@ -232,8 +235,12 @@
     /// [`Self::on_activity`] does; a list must show whether it expired. `now` is the
     /// time at which it was heard.
     pub fn on_announced(&mut self, now: TimeMs, name: &str, revision: u64) {
-        let known = self.observed.get(name);
-        if known.is_none_or(|known| *known < revision) && self.has_listed {
+        let is_news = match self.observed.get(name) {
+            Some(known) => *known < revision,
+            // Missing in a list that is at least as new: given up or deleted since.
+            None => revision > self.listed_revision,
+        };
+        if is_news && self.has_listed {
             self.observed.insert(name.to_owned(), revision);
             // The announcement may be older than the last change that was read.
             self.quiet_since = self.quiet_since.max(Some(now));
@@ -490,6 +497,7 @@
         let mut seen = IndexMap::new();
         for listed in others {
             self.learn(listed);
+            self.listed_revision = self.listed_revision.max(listed.revision);
             if !listed.ticket.released {
                 seen.insert(listed.name.clone(), listed.revision);
             }
@@ -499,11 +507,25 @@
         // before it.
         self.is_released =
             newest.is_some_and(|listed| listed.ticket.released && listed.ticket.held);
-        // A ticket that vanished unreleased may have a valid holder.
-        if seen != self.observed || self.quiet_since.is_none() {
-            self.observed = seen;
+        // The owner of a ticket that was held has waited for all older ones, and
+        // deletes them. Another one that vanished unreleased may have a valid holder.
+        let held = others.iter().filter(|listed| listed.ticket.held);
+        let settled_by = held.map(|listed| listed.order()).max();
+        let is_settled = |name: &str, revision: u64| {
+            let is_listed = others.iter().any(|listed| listed.name == name);
+            !is_listed && settled_by.is_some_and(|held| revision < held)
+        };
+        let has_new = seen
+            .iter()
+            .any(|(name, revision)| self.observed.get(name) != Some(revision));
+        let has_lost = self
+            .observed
+            .iter()
+            .any(|(name, revision)| !seen.contains_key(name) && !is_settled(name, *revision));
+        if has_new || has_lost || self.quiet_since.is_none() {
             self.quiet_since = Some(now);
         }
+        self.observed = seen;
         if let Some(newest) = newest {
             let mut holders = vec![FormerHolder {
                 holder: newest.ticket.holder.clone(),
--- a/crates/coord/tests/ticket_lease_model.rs
+++ b/crates/coord/tests/ticket_lease_model.rs
@@ -360,6 +360,29 @@
     assert!(simulation.processes[1].permit(simulation.now).is_some());
 }
 
+/// Guards against a second takeover that starts anew because the ticket of the first
+/// holder was deleted meanwhile, and against announcements of that holder that are
+/// heard again and again.
+#[test]
+fn second_killed_holder_is_replaced_without_another_wait() {
+    let mut simulation = Simulation::new(true);
+    simulation.run_undisturbed(&[0], 6_000);
+    let first = simulation.tickets[0].clone();
+    simulation.processes[2].set_contention(true, 800, 700);
+    simulation.run_undisturbed(&[0, 1, 2], 2_000);
+    simulation.run_undisturbed(&[1, 2], 6_000);
+    assert!(simulation.processes[1].permit(simulation.now).is_some());
+
+    for _ in 0..170 {
+        let now = simulation.now;
+        simulation.processes[2].on_announced(now, &first.name, first.revision);
+        simulation.run_undisturbed(&[2], 50);
+    }
+
+    // It has held the lease before, by its name, and waits for the lease time.
+    assert!(simulation.processes[2].permit(simulation.now).is_some());
+}
+
 /// Guards against a release that makes the next holder wait for the expiry.
 #[test]
 fn released_lease_is_taken_over_within_two_seconds() {
