Metering: pass on the counts of silent gateways until they are reported

Change: targets are compared with their runs, counts of silent gateways are repeated each second, and a new holder waits 1.7 s unless a report is nearly due.

--- a/crates/gateway/src/duties/exchange.rs
+++ b/crates/gateway/src/duties/exchange.rs
@@ -43,6 +43,10 @@
 const REPEAT_OFTEN_MS: u64 = 1_500;
 const REPEAT_INTERVAL_MS: u64 = 1_000;
 
+/// Time without a frame after which the counts of a gateway are passed on by those
+/// that have them, in milliseconds: its own frames repeat every second.
+const SILENT_AFTER_MS: u64 = 1_500;
+
 /// Number of gateways next in rank that get counts beside the holder, so that they
 /// outlive the gateway that counted and the holder.
 const SPARES: usize = 2;
@@ -59,7 +63,10 @@
 /// What was sent last.
 #[derive(Default)]
 struct Sent {
-    targets: Vec<InstanceId>,
+    /// Receivers with their runs: a restarted one knows nothing.
+    targets: Vec<(InstanceId, Option<u64>)>,
+    /// Time at which the counts of silent gateways were sent last.
+    silent_sent_at: Option<TimeMs>,
     /// Requests counted in each window, and the time, as sent last.
     windows: IndexMap<Window, (u64, TimeMs)>,
     announced_at: Option<TimeMs>,
@@ -225,12 +232,34 @@
 
 /// Sends counts that have changed or may not have arrived.
 fn send_usage(app: &App, link: &dyn PeerLink, now: TimeMs, at_unix_ms: u64, sent: &mut Sent) {
-    let targets = targets(app, link, now);
+    let peers = link.peers();
+    let run_of = |target: &InstanceId| {
+        let mut peers = peers.iter();
+        peers
+            .find(|peer| peer.instance == *target)
+            .map(|peer| peer.run)
+    };
+    let targets: Vec<(InstanceId, Option<u64>)> = targets(app, link, now)
+        .into_iter()
+        .map(|target| {
+            let run = run_of(&target);
+            (target, run)
+        })
+        .collect();
     // A new target knows nothing yet.
     let is_new_target = targets.iter().any(|target| !sent.targets.contains(target));
     if is_new_target {
         sent.windows.clear();
     }
+    // Gateways that fall silent one after the other are told of again, because the
+    // target may have changed in between.
+    let is_silent_due = is_new_target
+        || sent
+            .silent_sent_at
+            .is_none_or(|at| now.since(at) >= REPEAT_INTERVAL_MS);
+    if is_silent_due {
+        sent.silent_sent_at = Some(now);
+    }
     sent.targets = targets;
     let reported_through = lock(&app.duties.view).reported_through;
     let payloads = app.duties.with_metering(|metering| {
@@ -263,15 +292,17 @@
         }
         let first_kept = own.first_open.saturating_sub(20);
         sent.windows.retain(|window, _| *window >= first_kept);
-        if is_new_target {
+        if is_silent_due {
             payloads.extend(encode_parts(at_unix_ms, |teams_max| {
-                book.silent_parts(now, HEARD_WITHIN_MS, teams_max)
+                let mut parts = book.silent_parts(now, SILENT_AFTER_MS, teams_max);
+                parts.retain(|part| Some(part.window) > reported_through);
+                parts
             }));
         }
         payloads
     });
     for payload in payloads.unwrap_or_default() {
-        for target in &sent.targets {
+        for (target, _) in &sent.targets {
             link.send_to(target, Topic::Usage, &payload);
         }
     }
--- a/crates/gateway/src/duties/holder.rs
+++ b/crates/gateway/src/duties/holder.rs
@@ -72,6 +72,15 @@
 /// pauses the process all the time; a report that is sent then is repeated.
 const PAUSED_MAX_MS: u64 = 1_500;
 
+/// Time after the acquisition before which nothing is fixed, in milliseconds: the
+/// first announcement follows a second after it, and gateways then send their
+/// counts to the new holder.
+const FIX_GRACE_MS: u64 = 1_700;
+
+/// Time before a report is due from which a new holder fixes without that delay,
+/// in milliseconds.
+const FIX_URGENT_MS: u64 = 1_500;
+
 /// Time for which fixed counts are kept in the store, in milliseconds: far longer
 /// than any window is reported.
 const FIXED_KEPT_MS: u64 = 300_000;
@@ -135,6 +144,7 @@
     /// Counts that are known to be fixed in the store.
     fixed: IndexMap<Window, WindowCounts>,
     backoff: SendBackoff,
+    acquired_at: TimeMs,
     /// Time before which nothing is fixed or sent.
     work_from: TimeMs,
     /// Time of the first pause since the last report.
@@ -447,6 +457,7 @@
             plan: ReportPlan::new(reported_through, first),
             fixed: IndexMap::new(),
             backoff: SendBackoff::default(),
+            acquired_at: boot_now(),
             work_from: TimeMs(0),
             paused_since: None,
             doubtful: None,
@@ -502,6 +513,9 @@
                 Some(now)
             }
             Pending::Report(window) => {
+                if let Some(fix_from) = self.fix_from(window, unix_ms).filter(|at| now < *at) {
+                    return Some(fix_from);
+                }
                 let Some(counts) = self.fixed_counts(window).await else {
                     return Some(boot_now() + RETRY_MIN_MS);
                 };
@@ -511,6 +525,16 @@
         }
     }
 
+    /// Returns the time from which a window that is not fixed yet may be; `None` if
+    /// its report is nearly due.
+    fn fix_from(&self, window: Window, unix_ms: u64) -> Option<TimeMs> {
+        let held = self.held.as_ref()?;
+        let due_unix_ms = self.timing.end_ms(window) + self.timing.due_ms;
+        let is_urgent = unix_ms + FIX_URGENT_MS >= due_unix_ms;
+        let is_fixed = held.fixed.contains_key(&window);
+        (!is_urgent && !is_fixed).then_some(held.acquired_at + FIX_GRACE_MS)
+    }
+
     /// Returns the gateways that run, which must have closed a window before it is
     /// fixed early.
     fn expected_gateways(&self) -> Vec<types::InstanceId> {
