--- a/crates/policy/src/placement/capacity/mod.rs
+++ b/crates/policy/src/placement/capacity/mod.rs
@@ -21,6 +21,9 @@
 use concurrency::ConcurrencyLimit;
 use prefill::PrefillFit;
 
+/// Shortest service time that is learned, in milliseconds.
+const SERVICE_MIN_MS: f64 = 0.5;
+
 /// Prefill rate that is assumed before it is learned, in tokens per
 /// millisecond; as the users specify it for their engines.
 const PREFILL_TOKENS_PER_MS: f64 = 56.0;
@@ -169,6 +172,9 @@
         concurrency: u32,
         service_ms: f64,
     ) {
+        // Times are whole milliseconds. A time of 0 would make the ratio of two
+        // instances undefined.
+        let service_ms = service_ms.max(SERVICE_MIN_MS);
         // Three responses make a bin even where a gateway sends only a few.
         let covers_ms = service_ms.max(best::BIN_MS / 3.0);
         self.service_time.add(now, service_ms, covers_ms);
--- a/crates/policy/src/placement/remote_load.rs
+++ b/crates/policy/src/placement/remote_load.rs
@@ -144,12 +144,15 @@
             covered.contains(&key.0)
         }));
         for (key, load) in &report.loads {
-            // A key that the report holds twice would else be added twice.
-            if known.loads.insert(*key, (*load, now)).is_none() {
-                let sum = self.sums.entry(*key).or_default();
-                sum.combine(load, u64::saturating_add);
-                changed.push(*key);
+            // A key that is repeated or outside the range would be added to the sum
+            // without being subtracted later.
+            if !covered.contains(&key.0) || known.loads.contains_key(key) {
+                continue;
             }
+            known.loads.insert(*key, (*load, now));
+            let sum = self.sums.entry(*key).or_default();
+            sum.combine(load, u64::saturating_add);
+            changed.push(*key);
         }
         changed
     }
@@ -394,10 +397,6 @@
             .retain(|_, known| now.since(known.arrived_at) < TOTALS_TTL_MS);
     }
 
-    pub(super) fn is_empty(&self) -> bool {
-        self.entries.is_empty()
-    }
-
     pub(super) fn waiting_prompts(&self) -> u64 {
         self.waiting_prompts
     }
