Placement: refusals, hangs and learning follow the shared load and the copies

Cause, from a review: whether an instance could serve a prompt at once was predicted without the copy that its placement would use, so that prompts were refused although engines had room; silence behind a queue that the prediction knows counted as a hang; first events behind prompts of other gateways were learned as slowness.

Change: one prediction serves placement and refusal; the known queue is added to the tolerated silence; only first events with little of other prompts before them are learned from.

--- a/crates/policy/src/placement/instance.rs
+++ b/crates/policy/src/placement/instance.rs
@@ -50,7 +50,7 @@
     /// Tokens of the prompt that are certainly not cached: its own part.
     uncached_tokens: u32,
     /// Whether no other request of this entry awaited its first event at the
-    /// instance when this one was sent.
+    /// instance when this one was sent, and little of other entries' prompts.
     is_only_waiting: bool,
     /// Requests of this entry in flight at the instance when this one was sent,
     /// including it.
@@ -217,6 +217,13 @@
             / self.learned.rates().redundant_prefill_tokens_per_ms()
     }
 
+    /// Returns the time to read the prompts of all gateways that the engine reads
+    /// before a request of this rank, in milliseconds; 0 if they are not known.
+    pub(super) fn queue_ms(&self, demand: &Demand) -> f64 {
+        let unread = self.ranked.unread_ahead(rank_of(demand.priority));
+        unread.unwrap_or_default() / self.learned.rates().prefill_tokens_per_ms
+    }
+
     /// Predicts the time until the first event of a request sent now, in
     /// milliseconds.
     ///
@@ -274,7 +281,10 @@
         if self.awaiting_first_event == 0 {
             self.awaiting_since = now;
         }
-        let is_only_waiting = self.awaiting_first_event == 0;
+        let peers_unread = self.ranked.peers().unread_tokens.iter().sum::<u64>();
+        let own_tokens = demand.parts.last().map_or(0, |part| part.tokens);
+        let is_only_waiting =
+            self.awaiting_first_event == 0 && peers_unread * 4 <= u64::from(own_tokens);
         self.in_flight += 1;
         self.awaiting_first_event += 1;
         let pending_prefill_tokens = f64::from(placement.prefill_tokens(demand));
@@ -298,7 +308,7 @@
             is_tracked: true,
             prefill_finished: false,
             rank,
-            uncached_tokens: demand.parts.last().map_or(0, |part| part.tokens),
+            uncached_tokens: own_tokens,
             is_only_waiting,
             concurrency: self.in_flight,
             is_undisturbed: false,
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -39,7 +39,7 @@
 };
 
 use capacity::UpstreamCapacity;
-use fetch::Copies;
+use fetch::{Copies, Holder};
 use home::home_ranks;
 use instance::TrackedInstance;
 use lanes::{ByLane, Lane, Lanes};
@@ -252,7 +252,7 @@
                     demand.target_ms,
                     &self.peer_totals,
                 )?;
-                let can_serve = !self.peer_totals.is_empty() && self.has_idle_instance(now, demand);
+                let can_serve = self.sees_fleet && self.has_idle_instance(now, demand);
                 (!can_serve).then_some(overload)
             }
         }
@@ -312,10 +312,9 @@
         for ((instance, tracked, is_own_lane), home_rank) in candidates.into_iter().zip(ranks) {
             let cached_tokens = tracked.cached_tokens(now, demand, home_rank);
             let receiver = (instance, tracked, home_rank);
-            let prefix_copy = self.plan_copy(now, demand, receiver, &holders);
+            let (prefix_copy, predicted_ms) =
+                self.predict(now, demand, receiver, &holders, lane_lateness_ms);
             let present_tokens = cached_tokens + prefix_copy.expected_tokens();
-            let predicted_ms = tracked.predicted_ms(now, demand, present_tokens, lane_lateness_ms)
-                + prefix_copy.delay_ms();
             let redundant_ms = tracked.redundant_prefill_ms(demand, present_tokens)
                 + prefix_copy.burden_ms(tracked, demand);
             let other_lane_penalty_ms = match is_own_lane {
@@ -351,19 +350,43 @@
         let lane_lateness_ms = self.lane_lateness_ms(now, lane);
         let limit_ms = Self::IDLE_TARGET_SHARE * f64::from(demand.target_ms);
         let instances = self.instances.iter().enumerate();
-        let usable: Vec<(&InstanceId, &TrackedInstance)> = instances
+        let usable: Vec<(&InstanceId, &TrackedInstance, bool)> = instances
             .filter(|(index, (_, tracked))| {
                 tracked.is_usable(now) && self.lanes.is_own_lane(*index, lane)
             })
-            .map(|(_, named)| named)
+            .map(|(_, (name, tracked))| (name, tracked, true))
             .collect();
-        let names = usable.iter().map(|(name, _)| (*name, true));
+        let names = usable.iter().map(|(name, ..)| (*name, true));
         let ranks = home_ranks(names, demand.shared());
-        usable.iter().zip(ranks).any(|((_, tracked), home_rank)| {
-            let cached_tokens = tracked.cached_tokens(now, demand, home_rank);
-            let predicted_ms = tracked.predicted_ms(now, demand, cached_tokens, lane_lateness_ms);
-            predicted_ms.max(tracked.oldest_wait_ms(now, demand)) < limit_ms
-        })
+        let holders = self.holders(now, demand, &usable, &ranks);
+        usable
+            .iter()
+            .zip(ranks)
+            .any(|((name, tracked, _), home_rank)| {
+                let receiver = (*name, *tracked, home_rank);
+                let (_, predicted_ms) =
+                    self.predict(now, demand, receiver, &holders, lane_lateness_ms);
+                predicted_ms.max(tracked.oldest_wait_ms(now, demand)) < limit_ms
+            })
+    }
+
+    /// Decides whether the instance would copy cached parts of the prompt, and
+    /// predicts the time until the first event with the copy, in milliseconds.
+    fn predict(
+        &self,
+        now: TimeMs,
+        demand: &Demand,
+        receiver: (&InstanceId, &TrackedInstance, usize),
+        holders: &[Holder<'_>],
+        lane_lateness_ms: f64,
+    ) -> (CopyDecision, f64) {
+        let (_, tracked, home_rank) = receiver;
+        let prefix_copy = self.plan_copy(now, demand, receiver, holders);
+        let present_tokens =
+            tracked.cached_tokens(now, demand, home_rank) + prefix_copy.expected_tokens();
+        let predicted_ms = tracked.predicted_ms(now, demand, present_tokens, lane_lateness_ms)
+            + prefix_copy.delay_ms();
+        (prefix_copy, predicted_ms)
     }
 
     /// Returns the mean predicted wait over the instances of the prompt's lane, as if
@@ -607,12 +630,15 @@
     /// in the prompt's lane explain. Only meaningful while a request to the
     /// instance is pending.
     pub fn is_hanging(&self, now: TimeMs, instance: &InstanceId, demand: &Demand) -> bool {
+        let Some(tracked) = self.instances.get(instance) else {
+            return false;
+        };
         let lateness_ms = self.lane_lateness_ms(now, Lane::of(demand));
         let min_silence_ms = Self::HANG_TARGET_FACTOR * f64::from(demand.target_ms);
-        let silence_ms =
-            Self::HANG_TIMEOUT_MS.max(min_silence_ms) + Self::HANG_LATENESS_FACTOR * lateness_ms;
-        let tracked = self.instances.get(instance);
-        tracked.is_some_and(|tracked| tracked.is_silent(now, silence_ms as u64))
+        let silence_ms = Self::HANG_TIMEOUT_MS.max(min_silence_ms)
+            + Self::HANG_LATENESS_FACTOR * lateness_ms
+            + tracked.queue_ms(demand);
+        tracked.is_silent(now, silence_ms as u64)
     }
 
     /// Returns whether the instance has been silent for `silence_ms`. Only
