--- a/crates/coord/src/ticket_lease/machine.rs
+++ b/crates/coord/src/ticket_lease/machine.rs
@@ -221,13 +221,14 @@
         }
     }
 
-    /// Returns name and revision of the ticket while it gives permits, so that others
-    /// can be told.
+    /// Returns name and revision of the ticket while the lease is held, so that others
+    /// can be told. A new holder is announced before its first permit: others send
+    /// it what it needs meanwhile.
     pub fn announcement(&self, now: TimeMs) -> Option<(&str, u64)> {
         let State::Owner(owner) = &self.state else {
             return None;
         };
-        self.permit(now)
+        self.finish_by(owner, now)
             .map(|_| (owner.name.as_str(), owner.revision))
     }
 
@@ -463,7 +464,20 @@
         let State::Owner(owner) = &self.state else {
             return None;
         };
-        if !owner.is_holder || owner.is_leaving || now < self.permits_from {
+        if now < self.permits_from {
+            return None;
+        }
+        let finish_by = self.finish_by(owner, now)?;
+        Some(Permit {
+            fencing: owner.token,
+            finish_by,
+        })
+    }
+
+    /// Returns the time by which an order that is sent now ends; `None` if the lease
+    /// is not held or expires before that.
+    fn finish_by(&self, owner: &Owner, now: TimeMs) -> Option<TimeMs> {
+        if !owner.is_holder || owner.is_leaving {
             return None;
         }
         let usable_ms = self
@@ -471,10 +485,7 @@
             .duration_ms
             .saturating_sub(self.timing.margin_ms);
         let finish_by = now + self.timing.longest_order_ms;
-        (finish_by <= owner.valid_from? + usable_ms).then_some(Permit {
-            fencing: owner.token,
-            finish_by,
-        })
+        (finish_by <= owner.valid_from? + usable_ms).then_some(finish_by)
     }
 
     /// Returns whether all other tickets have not changed for long enough that no
--- a/crates/gateway/src/duties/holder.rs
+++ b/crates/gateway/src/duties/holder.rs
@@ -72,10 +72,9 @@
 /// pauses the process all the time; a report that is sent then is repeated.
 const PAUSED_MAX_MS: u64 = 1_500;
 
-/// Time after the acquisition before which nothing is fixed, in milliseconds: the
-/// first announcement follows a second after it, and gateways then send their
-/// counts to the new holder.
-const FIX_GRACE_MS: u64 = 1_700;
+/// Time after the acquisition before which nothing is fixed, in milliseconds:
+/// gateways send their counts to a new holder once they have heard its announcement.
+const FIX_GRACE_MS: u64 = 1_000;
 
 /// Time before a report is due from which a new holder fixes without that delay,
 /// in milliseconds.
