Metering: count streams that an instance answers with a failure

Ruled out: counts lost with killed gateways, which were repeated by then.

Change: an answer without success, and without the mark that the request was not run, counts.

--- a/crates/gateway/src/attempt/receive.rs
+++ b/crates/gateway/src/attempt/receive.rs
@@ -198,11 +198,13 @@
                 retry_reserved: false,
             });
         }
-        if id_matches && matches!(self.request.route.response_mode, ResponseMode::Buffered) {
-            // Also if the body does not arrive: the instance has begun to run it.
+        let is_success = (200..300).contains(&status);
+        let is_buffered = matches!(self.request.route.response_mode, ResponseMode::Buffered);
+        if id_matches && (is_buffered || !is_success) {
+            // Also if the body does not arrive: the instance has begun to run it. A
+            // stream that succeeds begins with its first event.
             self.on_begun();
         }
-        let is_success = (200..300).contains(&status);
         if is_success && (!meta.signed || meta.encoded || !id_matches) {
             return Err(AttemptError::failed(
                 "the response is unsigned, encoded or lacks the request id",
