--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -3,14 +3,15 @@
 //!
 //! Load pattern: many prompts share long parts, the instances together can
 //! cache every part once but not each of them everywhere, and several entries
-//! place requests at the same time without communication. Prefilling a shared
-//! part again costs an engine more than generating the answer, so a prompt goes
-//! to the instance that all entries agree on (its home), unless the wait there
-//! costs more than prefilling the prompt elsewhere.
+//! place requests at the same time. Prefilling a shared part again costs an
+//! engine more than generating the answer, so a prompt goes to the instance that
+//! all entries agree on (its home), unless the wait there costs more than copying
+//! the part to another instance or prefilling it there.
 //!
 //! All costs are expressed as milliseconds until the first event. Requests of
-//! this entry count immediately; the load of other entries shows as lateness,
-//! the delay of first events beyond their prediction.
+//! this entry count immediately, those of other entries as far as they report
+//! them; what is not known shows as lateness, the delay of first events beyond
+//! their prediction.
 
 mod cache;
 mod capacity;
@@ -139,8 +140,8 @@
 ///
 /// - Statistics of an instance are kept as long as it is a member; a new
 ///   incarnation starts without statistics.
-/// - The choice depends only on observations of this entry, so two entries
-///   without load choose the same instance for a prompt.
+/// - The choice depends only on observations of this entry and on the reports of
+///   others, so two entries without load choose the same instance for a prompt.
 #[derive(Debug, Default)]
 pub struct Placer {
     instances: IndexMap<InstanceId, TrackedInstance>,
--- a/crates/policy/src/placement/overload.rs
+++ b/crates/policy/src/placement/overload.rs
@@ -8,9 +8,9 @@
 //! receive a time after which to retry.
 //!
 //! The wait follows from Little's law: tokens waiting for prefill divided by
-//! tokens prefilled per millisecond. Both are counted per entry, so entries
-//! need no coordination: each counts its own share of the queues and of the
-//! prefill rate.
+//! tokens prefilled per millisecond. Each entry counts its own share
+//! of the queues and of the prefill rate, and adds what other entries report of
+//! theirs.
 
 use std::collections::VecDeque;
 
--- a/crates/policy/src/placement/remote_load.rs
+++ b/crates/policy/src/placement/remote_load.rs
@@ -18,8 +18,8 @@
 pub const RANKS: usize = 10;
 
 /// Time after its arrival until which a value counts, in milliseconds. Several
-/// reports of a small fleet, and one lost report of a large one, whose gateways
-/// report once per second, fit into it.
+/// reports of a small fleet fit into it, and one of a large fleet, whose gateways
+/// report about once per second.
 pub const VALUE_TTL_MS: u64 = 1_500;
 
 /// Time for which the sums of an entry are kept without a new report. A change over
@@ -219,11 +219,13 @@
 }
 
 /// Load at one instance by rank: the own waiting requests and the load of the other
-/// gateways. Without effect unless enabled.
+/// gateways. Which of it counts follows from [`Self::set_modes`].
 #[derive(Debug)]
 pub(super) struct RankedLoad {
     key: InstanceKey,
+    /// Whether the age of own waiting requests counts.
     counts_waiting: bool,
+    /// Whether unread tokens count by rank, since the load of all gateways is known.
     counts_ranks: bool,
     /// Rank, time of sending and unread tokens of each own request without a first
     /// event, in the order of sending.
