--- a/crates/gateway/src/duties/holder.rs
+++ b/crates/gateway/src/duties/holder.rs
@@ -148,8 +148,7 @@
     work_from: TimeMs,
     /// Time of the first pause since the last report.
     paused_since: Option<TimeMs>,
-    /// Window whose report was confirmed, but may not count: the platform ignores calls
-    /// just after a pause or a cut.
+    /// Window whose report was confirmed, but may have arrived during a thaw.
     doubtful: Option<Window>,
 }
 
@@ -651,14 +650,11 @@
         let is_disturbed = self
             .disturbed_at
             .is_some_and(|at| now.since(at) < DOUBTFUL_MS);
-        // A short cut or pause may go unnoticed. A late report is repeated only after
-        // a known disturbance, so that others do not wait for it.
-        let is_in_time = self.age_ms(window) < self.timing.due_ms;
         let Some(held) = &mut self.held else {
             return;
         };
         held.backoff.on_success();
-        if (is_disturbed || is_in_time) && held.doubtful != Some(window) {
+        if is_disturbed && held.doubtful != Some(window) {
             held.doubtful = Some(window);
             held.work_from = now + thaw_ms;
             return;
