review: idle connections keep the memory of long heads

Cause: the room of a head with many fields is given back with its response, but the HTTP server keeps the map of the fields for the next request of the connection.

Change: case 9; the scenario of case 8 now serves both.

--- a/review/rig-2/crowd.rs
+++ b/review/rig-2/crowd.rs
@@ -29,7 +29,9 @@
                 start.wait();
                 let mut held = Vec::new();
                 for _ in 0..count / THREADS {
-                    if let Ok(mut stream) = TcpStream::connect_timeout(&addr, Duration::from_secs(2)) {
+                    if let Ok(mut stream) =
+                        TcpStream::connect_timeout(&addr, Duration::from_secs(2))
+                    {
                         let _ = stream.write_all(b"POST /order/1 HTTP/1.1\r\nHost: ");
                         held.push(stream);
                     }
--- a/review/rig-2/descriptors.rs
+++ b/review/rig-2/descriptors.rs
@@ -70,10 +70,9 @@
                 let mut kept: Option<Connection> = None;
                 while !ended.load(Ordering::Relaxed) {
                     let at_ms = record.now_ms();
-                    let connection = kept.take().map_or_else(
-                        || Connection::open(front, Duration::from_millis(2_500)),
-                        Ok,
-                    );
+                    let connection = kept
+                        .take()
+                        .map_or_else(|| Connection::open(front, Duration::from_millis(2_500)), Ok);
                     let Ok(mut connection) = connection else {
                         record.line(&format!("caller {number}: no connection"));
                         thread::sleep(Duration::from_millis(200));
@@ -162,7 +161,14 @@
         return 2;
     }
     let broken = late >= 8 && late * 4 > judged.len();
-    println!("{}", if broken { "CONFIG is broken" } else { "CONFIG holds" });
+    println!(
+        "{}",
+        if broken {
+            "CONFIG is broken"
+        } else {
+            "CONFIG holds"
+        }
+    );
     i32::from(broken)
 }
 
--- a/review/rig-2/engine.rs
+++ b/review/rig-2/engine.rs
@@ -100,7 +100,8 @@
         let request_id = request.field("x-limpetgw-request-id").unwrap_or_default();
         let expected = request.field("x-limpetgw-expect-instance");
         if expected.is_some_and(|id| id != self.id) {
-            let head = "HTTP/1.1 421 Misdirected\r\nX-Limpetgw-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+            let head =
+                "HTTP/1.1 421 Misdirected\r\nX-Limpetgw-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
             return connection.write(head.as_bytes());
         }
         self.runs.0.lock().expect("unpoisoned").push(Run {
--- a/review/rig-2/foreign_entry.rs
+++ b/review/rig-2/foreign_entry.rs
@@ -90,7 +90,10 @@
                         }
                         thread::sleep(Duration::from_millis(200));
                     }
-                    asked.lock().expect("unpoisoned").push(Asked { at_ms, status });
+                    asked
+                        .lock()
+                        .expect("unpoisoned")
+                        .push(Asked { at_ms, status });
                     thread::sleep(Duration::from_millis(100));
                 }
             })
@@ -156,7 +159,14 @@
         return 2;
     }
     let broken = served_after * 4 < all_after;
-    println!("{}", if broken { "RECOVER is broken" } else { "RECOVER holds" });
+    println!(
+        "{}",
+        if broken {
+            "RECOVER is broken"
+        } else {
+            "RECOVER holds"
+        }
+    );
     i32::from(broken)
 }
 
--- a/review/rig-2/gateway.rs
+++ b/review/rig-2/gateway.rs
@@ -122,7 +122,8 @@
         let Ok(mut connection) = Connection::open(self.ready, timeout) else {
             return false;
         };
-        let asked = connection.write(b"GET /readyz HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n");
+        let asked =
+            connection.write(b"GET /readyz HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n");
         asked.is_ok() && matches!(connection.read(), Ok(Some(answer)) if answer.status() == 200)
     }
 
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -14,6 +14,7 @@
 mod gateway;
 mod http;
 mod memory;
+mod ranks;
 mod record;
 mod store;
 
@@ -26,8 +27,10 @@
     let code = match words.as_slice() {
         ["crowd", port, count, hold_ms] => crowd::hold(port, count, hold_ms),
         ["foreign-entry", folder] => foreign_entry::play(folder, trouble),
-        ["memory", folder] => memory::play(folder, trouble),
+        ["bodies", folder] => memory::play(folder, trouble, memory::Crowd::Bodies),
+        ["fields", folder] => memory::play(folder, trouble, memory::Crowd::Fields),
         ["descriptors", folder] => descriptors::play(folder, trouble),
+        ["ranks", folder] => ranks::play(folder, trouble),
         _ => {
             eprintln!("usage: rig CASE FOLDER");
             2
--- a/review/rig-2/memory.rs
+++ b/review/rig-2/memory.rs
@@ -1,8 +1,9 @@
-//! Case `memory`: clients send bodies of legal size to sound engines, one after the other on
-//! each connection. The platform ends a process whose memory exceeds its machine's.
+//! Cases `bodies` and `fields`: clients send requests of legal size that take much
+//! memory, and the platform ends a process whose memory exceeds its machine's.
 
 use std::{
     collections::BTreeSet,
+    net::SocketAddr,
     sync::{
         atomic::{AtomicBool, AtomicU64, Ordering},
         Arc, Mutex,
@@ -28,16 +29,32 @@
 /// `max-body-bytes` of the configuration, and the mean body of an ordinary request.
 const LEGAL_BODY_BYTES: usize = 4_194_304;
 const ORDINARY_BODY_BYTES: usize = 17_000;
-const CROWD: u64 = 8;
+/// Clients that send bodies, each one after the other.
+const BODY_CLIENTS: u64 = 8;
+/// Fields of a head of at most 16,384 bytes, and of an ordinary one.
+const MANY_FIELDS: usize = 1_700;
+const FEW_FIELDS: usize = 10;
+/// Clients that send one head each and keep their connections, by thread.
+const FIELD_CLIENTS: usize = 80;
+const FIELD_THREADS: u64 = 8;
 const CALLERS: u64 = 12;
 /// Time for which the crowd sends.
-const CROWD_TIME: Duration = Duration::from_secs(20);
+const CROWD_TIME: Duration = Duration::from_secs(12);
 const CALM: Duration = Duration::from_secs(5);
 
 /// Requests of ordinary callers without an answer yet, by id.
 type Unanswered = Arc<Mutex<BTreeSet<String>>>;
 
-pub fn play(folder: &str, trouble: bool) -> i32 {
+/// What the crowd sends.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Crowd {
+    /// Bodies of the largest legal size, one after the other on each connection.
+    Bodies,
+    /// One head with very many short fields; the connection stays open.
+    Fields,
+}
+
+pub fn play(folder: &str, trouble: bool, crowd: Crowd) -> i32 {
     let record = Record::create(folder);
     let temporary = Folder::create();
     let store = Store::start();
@@ -100,36 +117,38 @@
         }));
     }
     thread::sleep(CALM);
-    let (body_bytes, what) = match trouble {
-        true => (LEGAL_BODY_BYTES, "bodies of the largest legal size"),
-        false => (ORDINARY_BODY_BYTES, "ordinary bodies"),
-    };
-    record.note(&format!("{CROWD} clients begin to send {what}"));
-    for number in 0..CROWD {
-        let (ended, next_id, record) = (ended.clone(), next_id.clone(), record.clone());
-        let front = gateway.front;
-        clients.push(thread::spawn(move || {
-            let body = vec![b'x'; body_bytes];
-            while !ended.load(Ordering::Relaxed) {
-                let Ok(mut connection) = Connection::open(front, Duration::from_secs(10)) else {
-                    thread::sleep(Duration::from_millis(100));
-                    continue;
-                };
-                while !ended.load(Ordering::Relaxed) {
-                    let id = format!("c{:015x}", next_id.fetch_add(1, Ordering::Relaxed));
-                    let sent = connection.write(&request("/ask/long", &id, 10_000, "", &body));
-                    let answer = sent.and_then(|()| connection.read());
-                    let status = match &answer {
-                        Ok(Some(answer)) => answer.status(),
-                        _ => 0,
-                    };
-                    record.line(&format!("crowd {number}: {id} got {status}"));
-                    if status == 0 {
-                        break;
-                    }
-                }
+    let shared = (ended.clone(), next_id.clone(), record.clone());
+    record.note(match (crowd, trouble) {
+        (Crowd::Bodies, true) => "8 clients begin to send bodies of the largest legal size",
+        (Crowd::Bodies, false) => "8 clients begin to send ordinary bodies",
+        (Crowd::Fields, true) => "640 clients begin to send a head with 1,700 short fields each",
+        (Crowd::Fields, false) => "640 clients begin to send a head with 10 short fields each",
+    });
+    match crowd {
+        Crowd::Bodies => {
+            let body_bytes = match trouble {
+                true => LEGAL_BODY_BYTES,
+                false => ORDINARY_BODY_BYTES,
+            };
+            for number in 0..BODY_CLIENTS {
+                let (shared, front) = (shared.clone(), gateway.front);
+                clients.push(thread::spawn(move || {
+                    send_bodies(number, front, body_bytes, &shared);
+                }));
             }
-        }));
+        }
+        Crowd::Fields => {
+            let fields = match trouble {
+                true => MANY_FIELDS,
+                false => FEW_FIELDS,
+            };
+            for number in 0..FIELD_THREADS {
+                let (shared, front) = (shared.clone(), gateway.front);
+                clients.push(thread::spawn(move || {
+                    send_fields(number, front, fields, &shared);
+                }));
+            }
+        }
     }
     // The platform watches the memory of the process.
     let until = Instant::now() + CROWD_TIME;
@@ -160,9 +179,14 @@
     }
     let run_ids: BTreeSet<String> = runs.all().into_iter().map(|run| run.request_id).collect();
     let unanswered = unanswered.lock().expect("unpoisoned");
-    let lost: Vec<&String> = unanswered.iter().filter(|id| run_ids.contains(*id)).collect();
+    let lost: Vec<&String> = unanswered
+        .iter()
+        .filter(|id| run_ids.contains(*id))
+        .collect();
     for id in &lost {
-        record.line(&format!("{id} ran at a sound engine and got no complete answer"));
+        record.line(&format!(
+            "{id} ran at a sound engine and got no complete answer"
+        ));
     }
     let answered = answered.load(Ordering::Relaxed);
     record.note(&format!(
@@ -177,6 +201,69 @@
         return 2;
     }
     let broken = lost.len() > 3;
-    println!("{}", if broken { "LOST is broken" } else { "LOST holds" });
+    println!(
+        "{}",
+        if broken {
+            "LOST is broken"
+        } else {
+            "LOST holds"
+        }
+    );
     i32::from(broken)
 }
+
+/// What the threads of a crowd share: whether the case has ended, the next request id
+/// and the record.
+type Shared = (Arc<AtomicBool>, Arc<AtomicU64>, Record);
+
+/// Sends bodies one after the other on one connection.
+fn send_bodies(number: u64, front: SocketAddr, body_bytes: usize, shared: &Shared) {
+    let (ended, next_id, record) = shared;
+    let body = vec![b'x'; body_bytes];
+    while !ended.load(Ordering::Relaxed) {
+        let Ok(mut connection) = Connection::open(front, Duration::from_secs(10)) else {
+            thread::sleep(Duration::from_millis(100));
+            continue;
+        };
+        while !ended.load(Ordering::Relaxed) {
+            let id = format!("c{:015x}", next_id.fetch_add(1, Ordering::Relaxed));
+            let sent = connection.write(&request("/ask/long", &id, 10_000, "", &body));
+            let status = status(sent.and_then(|()| connection.read()));
+            record.line(&format!("crowd {number}: {id} got {status}"));
+            if status == 0 {
+                break;
+            }
+        }
+    }
+}
+
+/// Sends one order on each of many connections, which stay open after its answer.
+fn send_fields(number: u64, front: SocketAddr, fields: usize, shared: &Shared) {
+    let (ended, next_id, record) = shared;
+    let head: String = (0..fields).map(|field| format!("x{field}:\r\n")).collect();
+    let mut held = Vec::new();
+    for _ in 0..FIELD_CLIENTS {
+        if ended.load(Ordering::Relaxed) {
+            return;
+        }
+        let Ok(mut connection) = Connection::open(front, Duration::from_secs(10)) else {
+            continue;
+        };
+        let id = format!("c{:015x}", next_id.fetch_add(1, Ordering::Relaxed));
+        let sent = connection.write(&request("/order/cut", &id, 10_000, &head, b"last 41"));
+        let status = status(sent.and_then(|()| connection.read()));
+        record.line(&format!("crowd {number}: {id} got {status}"));
+        held.push(connection);
+    }
+    while !ended.load(Ordering::Relaxed) {
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// Status of an answer, 0 without one.
+fn status(answer: std::io::Result<Option<crate::http::Message>>) -> u16 {
+    match answer {
+        Ok(Some(answer)) => answer.status(),
+        _ => 0,
+    }
+}
--- a/review/rig-2/store.rs
+++ b/review/rig-2/store.rs
@@ -193,7 +193,9 @@
 
 /// The specification in a written object, its last member.
 fn written_spec(body: &str) -> &str {
-    let after = body.split_once("\"spec\":").map_or("{}", |(_, after)| after);
+    let after = body
+        .split_once("\"spec\":")
+        .map_or("{}", |(_, after)| after);
     after.strip_suffix('}').unwrap_or(after)
 }
 
@@ -211,10 +213,15 @@
 /// A configuration with an `unsafe` route `/order/`, a resumable stream `/ask/` and a
 /// stream `/plan/`, with the limits of the small deployments.
 pub fn config(version: u64) -> String {
+    config_with(version, 1, KEY)
+}
+
+/// The same with another rank of the routes and the tenant, and another key.
+pub fn config_with(version: u64, rank: u32, key: &str) -> String {
     let route = |prefix: &str, kind: &str, service: &str, rest: &str| {
         format!(
             "{{\"name\":\"r-{kind}\",\"host\":\"{HOST}\",\"prefix\":\"{prefix}\",\"kind\":\"{kind}\",\
-             \"priority\":1,\"service\":\"{service}\",\"public\":false,{rest}}}"
+             \"priority\":{rank},\"service\":\"{service}\",\"public\":false,{rest}}}"
         )
     };
     let routes = [
@@ -240,7 +247,7 @@
          \"health-path\":\"/healthz\",\"max-conns\":100,\"protocol\":\"h1\",\"tls\":false}}],\
          \"limits\":{{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,\
          \"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}},\
-         \"tenants\":[{{\"name\":\"hule930\",\"api-keys\":[\"{KEY}\"],\"priority\":1}}]}}",
+         \"tenants\":[{{\"name\":\"hule930\",\"api-keys\":[\"{key}\"],\"priority\":{rank}}}]}}",
         routes.join(",")
     )
 }
