--- a/review/rig-2/descriptors.rs
+++ b/review/rig-2/descriptors.rs
@@ -32,7 +32,7 @@
 const CROWD_PROCESSES: usize = 8;
 const CROWD_HOLD_MS: u64 = 3_000;
 /// Connections of each process of the crowd, and without the disruption.
-const CROWD_CONNECTIONS: usize = 700;
+const CROWD_CONNECTIONS: usize = 560;
 const FEW_CONNECTIONS: usize = 16;
 
 /// A request of an ordinary caller.
