Gateway: count unreadable objects of the store

Event 5014 names an object that can't be decoded, but no metric does, so that an alert on it needs the log. The counter has the feed as its label; the two places that logged the event share one function.

--- a/crates/gateway/src/feed_watcher.rs
+++ b/crates/gateway/src/feed_watcher.rs
@@ -196,6 +196,16 @@
     watched.or(checked).await
 }
 
+/// Logs and counts an object, or a part of one, that is ignored.
+pub(crate) fn log_unreadable(feed: &'static str, name: &str, reason: String) {
+    metrics::counter!("limpetgw_gateway_unreadable_total", "feed" => feed).increment(1);
+    emit(&GatewayEvent::EntryUnreadable {
+        feed: feed.into(),
+        name: name.into(),
+        reason,
+    });
+}
+
 fn check_result<T>(found: &Result<WatchResult<T>, StoreError>) -> String {
     match found {
         Ok(WatchResult::Changes(listing)) => format!(
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -11,14 +11,13 @@
 use indexmap::{IndexMap, IndexSet};
 use peer_link::PeerLink;
 use policy::crash_evidence::CrashLog;
-use telemetry::{emit, events::GatewayEvent};
 use types::{InstanceId, TimeMs};
 
 use super::{PeerDirectory, PeerRecord};
 use crate::{
     app::{lock, App},
     feed::{FeedEntry, Listing},
-    feed_watcher::{poll_feed, Poll, Update},
+    feed_watcher::{log_unreadable, poll_feed, Poll, Update},
 };
 
 /// Name of the feed of other gateways' records in log events.
@@ -156,11 +155,7 @@
                 lock(last_changes).swap_remove(&gateway);
             }
             FeedEntry::Unreadable { name, reason } => {
-                emit(&GatewayEvent::EntryUnreadable {
-                    feed: PEERS_FEED.into(),
-                    name: name.to_string(),
-                    reason,
-                });
+                log_unreadable(PEERS_FEED, &name, reason);
             }
         }
     }
--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -11,7 +11,7 @@
 use crate::{
     app::{lock, App},
     feed::{Feed, FeedEntry},
-    feed_watcher::{watch_feed, Timing, Update},
+    feed_watcher::{log_unreadable, watch_feed, Timing, Update},
     routing::Routing,
 };
 
@@ -165,11 +165,3 @@
         usable: view.usable,
     });
 }
-
-fn log_unreadable(feed: &str, name: &str, reason: String) {
-    emit(&GatewayEvent::EntryUnreadable {
-        feed: feed.into(),
-        name: name.into(),
-        reason,
-    });
-}
