Configuration: apply a version of which one part can't be read

Cause: the adapter decoded `config/main` as one value of exact types; ranks were bytes. Any number beyond its type, unknown word or absent field rejected the whole document (event 5014 named the field), and the version before stayed in force. Ruled out by the same event: that the version did not arrive, and that it was in force without its keys.

Routes, services, tenants and limits are decoded on their own; one that can't be is named by path and out of force alone. A route that can't be decoded refuses its requests as not run, so that they don't reach the service of a shorter prefix. An unreadable list of tenants still rejects the document: it is unknown which keys it withdraws.

--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -64,6 +64,9 @@
         revision,
         routes: routing.route_count(),
     });
+    for part in &routing.unreadable_parts {
+        log_unreadable(ROUTING_FEED, &part.path, part.reason.clone());
+    }
     app.routing.store(Arc::new(routing));
     app.refresh_view();
 }
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -31,6 +31,11 @@
     },
 }
 
+/// Position in the order of urgency, 0 for the most urgent. Only the order of ranks
+/// counts: a configuration may space them as it likes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank(pub u64);
+
 /// Upstream that receives a weighted share of the requests of a route.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WeightedUpstream {
@@ -58,9 +63,10 @@
     /// Latency target for a buffered response, or for the first event of a
     /// stream.
     pub latency_target: Duration,
-    /// Priority relative to other routes.
-    pub priority: Priority,
-    /// Upstreams that share the requests by weight. Never empty.
+    /// Rank relative to other routes.
+    pub rank: Rank,
+    /// Upstreams that share the requests by weight. Empty only if the route is
+    /// unavailable: requests that select it are refused as not run.
     pub weighted_upstreams: Vec<WeightedUpstream>,
     /// Maximum number of attempts for one request, at least 1.
     pub attempts_max: u32,
@@ -87,15 +93,14 @@
     by_key: IndexMap<Arc<str>, Arc<Team>>,
 }
 
-/// A team and its scheduling priority.
+/// A team and its rank.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Team {
     /// Name of the team, forwarded to instances.
     pub name: TeamName,
-    /// Takes precedence over the priority of the route, which only orders
-    /// requests of teams with equal priority. If `None`, the priority of the
-    /// route is used instead.
-    pub priority: Option<Priority>,
+    /// Takes precedence over the rank of the route, which only orders requests of
+    /// teams with equal rank. If `None`, the rank of the route is used instead.
+    pub rank: Option<Rank>,
 }
 
 impl Teams {
@@ -143,6 +148,15 @@
     }
 }
 
+/// Part of a configuration that could not be decoded and is not in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnreadablePart {
+    /// Path of the part in the document, such as `routes.2`.
+    pub path: String,
+    /// Decoding error, for the log.
+    pub reason: String,
+}
+
 /// A complete routing configuration.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Routing {
@@ -156,6 +170,8 @@
     pub teams: Option<Teams>,
     /// Size and time limits for requests.
     pub limits: Limits,
+    /// Parts of the document that are not in force.
+    pub unreadable_parts: Vec<UnreadablePart>,
 }
 
 impl Routing {
@@ -192,33 +208,30 @@
             .find(|route| path.starts_with(route.prefix.as_ref()))
     }
 
-    /// Number of priority ranks that instances distinguish; rank 0 is the most
-    /// urgent.
-    pub const RANKS: usize = 10;
+    /// Number of priorities that instances distinguish.
+    pub const PRIORITIES: usize = 10;
 
     /// Returns the priority of a request within this configuration, from
-    /// `u8::MAX` for rank 0 downwards. Requests are ordered by the priority of
-    /// the team, then of the route. Without a team priority, the priority of
-    /// the route is used for both.
+    /// `u8::MAX` for the most urgent downwards. Requests are ordered by the rank of
+    /// the team, then of the route. Without a rank of the team, the rank of the
+    /// route is used for both.
     pub fn priority(&self, team: Option<&Team>, route: &Route) -> Priority {
-        let route_levels = distinct_priorities(self.all_routes().map(|route| route.priority));
+        let route_ranks = distinct_ranks(self.all_routes().map(|route| route.rank));
         let teams = self.teams.iter().flat_map(Teams::all);
-        let team_levels = distinct_priorities(
+        let team_ranks = distinct_ranks(
             teams
-                .filter_map(|team| team.priority)
-                .chain(route_levels.iter().copied()),
+                .filter_map(|team| team.rank)
+                .chain(route_ranks.iter().copied()),
         );
-        let team_priority = team
-            .and_then(|team| team.priority)
-            .unwrap_or(route.priority);
-        let position = level_index(&team_levels, team_priority) * route_levels.len()
-            + level_index(&route_levels, route.priority);
-        let level_count = (team_levels.len() * route_levels.len()).max(1);
-        let rank = match level_count <= Self::RANKS {
+        let team_rank = team.and_then(|team| team.rank).unwrap_or(route.rank);
+        let position = rank_index(&team_ranks, team_rank) * route_ranks.len()
+            + rank_index(&route_ranks, route.rank);
+        let position_count = (team_ranks.len() * route_ranks.len()).max(1);
+        let priority = match position_count <= Self::PRIORITIES {
             true => position,
-            false => position * Self::RANKS / level_count,
+            false => position * Self::PRIORITIES / position_count,
         };
-        Priority(u8::MAX - rank as u8)
+        Priority(u8::MAX - priority as u8)
     }
 
     fn all_routes(&self) -> impl Iterator<Item = &Arc<Route>> {
@@ -232,9 +245,26 @@
 }
 
 impl Route {
-    /// Selects an upstream by weight. `random` must be uniformly distributed
-    /// and drawn anew for each request.
-    pub fn select_upstream(&self, random: u64) -> &UpstreamName {
+    /// Creates a route that selects requests, but has no upstream for them.
+    pub fn unavailable(host: Arc<str>, prefix: Arc<str>) -> Self {
+        Self {
+            name: prefix.clone(),
+            host,
+            prefix,
+            retry_policy: RetryPolicy::NotRunOnly,
+            response_mode: ResponseMode::Buffered,
+            timeout: Duration::ZERO,
+            latency_target: Duration::ZERO,
+            rank: Rank(u64::MAX),
+            weighted_upstreams: Vec::new(),
+            attempts_max: 1,
+            public: false,
+        }
+    }
+
+    /// Selects an upstream by weight, `None` if the route is unavailable. `random`
+    /// must be uniformly distributed and drawn anew for each request.
+    pub fn select_upstream(&self, random: u64) -> Option<&UpstreamName> {
         let total: u64 = self
             .weighted_upstreams
             .iter()
@@ -244,25 +274,26 @@
         for weighted_upstream in &self.weighted_upstreams {
             let weight = u64::from(weighted_upstream.weight);
             if drawn < weight {
-                return &weighted_upstream.upstream;
+                return Some(&weighted_upstream.upstream);
             }
             drawn -= weight;
         }
-        &self.weighted_upstreams[0].upstream
+        let first = self.weighted_upstreams.first()?;
+        Some(&first.upstream)
     }
 }
 
-/// Returns the distinct priorities in descending order.
-fn distinct_priorities(priorities: impl Iterator<Item = Priority>) -> Vec<Priority> {
-    let mut levels: Vec<Priority> = priorities.collect();
-    levels.sort_by_key(|priority| std::cmp::Reverse(*priority));
-    levels.dedup();
-    levels
+/// Returns the distinct ranks, the most urgent first.
+fn distinct_ranks(ranks: impl Iterator<Item = Rank>) -> Vec<Rank> {
+    let mut ranks: Vec<Rank> = ranks.collect();
+    ranks.sort();
+    ranks.dedup();
+    ranks
 }
 
-/// Returns the index of the first level that is not above `priority`, or of the
-/// last level if all are above.
-fn level_index(levels: &[Priority], priority: Priority) -> usize {
-    let position = levels.iter().position(|level| *level <= priority);
-    position.unwrap_or(levels.len().saturating_sub(1))
+/// Returns the index of the first of `ranks` that is not more urgent than `rank`, or
+/// of the last one if all are.
+fn rank_index(ranks: &[Rank], rank: Rank) -> usize {
+    let position = ranks.iter().position(|other| *other >= rank);
+    position.unwrap_or(ranks.len().saturating_sub(1))
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -41,6 +41,9 @@
 /// Suggested retry delay while the process has no configuration.
 const NOT_CONFIGURED_RETRY_MS: u64 = 400;
 
+/// Suggested retry delay while the route of a request has no upstream.
+const UNAVAILABLE_ROUTE_RETRY_MS: u64 = 2_000;
+
 /// Serves one request and returns the connection with its response.
 pub(crate) async fn serve(app: Arc<App>, mut conn: Conn) -> Conn {
     let received_at = app.now();
@@ -153,6 +156,9 @@
     }
     check_head(conn, &headers, &config.limits)?;
     let route = find_route(conn, &config)?.clone();
+    let Some(upstream) = route.select_upstream(rand::random()).cloned() else {
+        return Err(unavailable_route(&route, &config));
+    };
     let team = authenticate(&meta, &route, &config)?;
     let Some(request_id) = meta.request_id else {
         return Err(Failure::not_run(
@@ -185,7 +191,7 @@
         target: request_target(conn),
         headers: headers::without_hop_by_hop(headers),
         body,
-        upstream: route.select_upstream(rand::random()).clone(),
+        upstream,
         priority,
         team: team.map(|team| team.name.clone()),
         route,
@@ -240,6 +246,15 @@
     })
 }
 
+/// Returns the failure for a request of a route that could not be decoded.
+fn unavailable_route(route: &Route, config: &Routing) -> Failure {
+    let reason = format!(
+        "route {}{} of configuration {} can't be read",
+        route.host, route.prefix, config.version
+    );
+    Failure::not_run(ErrorCode::NotConfigured, reason).retry_after(UNAVAILABLE_ROUTE_RETRY_MS)
+}
+
 /// Returns the team that owns the API key of the request; `None` if the route
 /// or the configuration does not require a key.
 fn authenticate(
