Store: decode each object of a response on its own

Running gateways no longer followed the list: 78 requests reached an instance more than 2 s after it was known to leave.

Cause: a whole response was decoded into `serde_json::Value` before its entries were looked at. What that type can't hold, but JSON allows, failed each list, watch and check. Event 5012 named the decoder's error; ruled out by it: a store that does not answer, and an entry that stops the roster after its decoding.

Change: objects stay text until each is decoded on its own, its name first. Bytes that are not UTF-8 make only their string unreadable. The list of instances that `entry`, `agent` and `console` read leaves out unreadable items, with an event (3004) and a counter.

The hand-made percent-encoding is replaced by the library.

--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -2,7 +2,9 @@
 
 use std::{fmt, future::Future, pin::Pin, sync::Arc, time::Duration};
 
-use serde::{Deserialize, Serialize};
+use serde::{de::DeserializeOwned, Deserialize, Deserializer, Serialize};
+use serde_json::value::RawValue;
+use telemetry::{emit, events::StateEvent};
 use types::{InstanceId, UpstreamName, ZoneName};
 
 /// Boxed future, which keeps the traits usable as trait objects.
@@ -161,10 +163,36 @@
 pub struct InstanceList {
     /// Version, increased by each change.
     pub version: u64,
-    /// Instances of all roles.
+    /// Instances of all roles. Those that can't be read, such as one of a role that this
+    /// version does not know, are left out.
+    #[serde(deserialize_with = "readable_items")]
     pub instances: Vec<Instance>,
 }
 
+/// Reads a list and leaves out the items that can't be read, with an event for each, so
+/// that one of them does not fail the whole list.
+pub(crate) fn readable_items<'de, T, D>(deserializer: D) -> Result<Vec<T>, D::Error>
+where
+    T: DeserializeOwned,
+    D: Deserializer<'de>,
+{
+    let items = Vec::<Box<RawValue>>::deserialize(deserializer)?;
+    let items = items.iter().enumerate();
+    Ok(items
+        .filter_map(|(index, item)| match serde_json::from_str(item.get()) {
+            Ok(item) => Some(item),
+            Err(error) => {
+                metrics::counter!("limpetgw_platform_unreadable_items_total").increment(1);
+                emit(&StateEvent::ListItemUnreadable {
+                    index,
+                    reason: error.to_string(),
+                });
+                None
+            }
+        })
+        .collect())
+}
+
 /// Source of the platform's instance list. The list is eventually consistent:
 /// it lags behind the actual set of instances.
 pub trait InstanceSource: Send + Sync {
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -3,13 +3,14 @@
 use std::{io::ErrorKind, sync::Arc, time::Duration};
 
 use futures_lite::FutureExt;
-use serde::de::DeserializeOwned;
+use serde::Deserialize;
 use trillium_client::{Client, Conn};
 use trillium_http::Method;
 
 use crate::{
     api::StoreError,
     connector::KeepaliveConnector,
+    json_text::json_text,
     limiter::{CallKind, Limiter, RateLimits},
 };
 
@@ -37,7 +38,8 @@
 pub struct StoreResponse {
     /// HTTP status; 0 if the response has none.
     pub status: u16,
-    /// Body as text.
+    /// Body as JSON text. Bytes that are not UTF-8 are replaced by an escape that fails
+    /// in the string that contains them, and only there.
     pub text: String,
 }
 
@@ -100,13 +102,15 @@
 }
 
 impl StoreResponse {
-    /// Decodes the JSON body of a successful response.
+    /// Decodes the JSON body of a successful response. Parts that other programs wrote
+    /// are best decoded as [`serde_json::value::RawValue`] first: any of them can be
+    /// valid JSON that no other type holds.
     ///
     /// # Errors
     ///
     /// The error of [`unexpected_status`] if the status is not 200,
     /// [`StoreError::OutcomeUnknown`] if the body can't be decoded.
-    pub fn body<T: DeserializeOwned>(&self) -> Result<T, StoreError> {
+    pub fn body<'a, T: Deserialize<'a>>(&'a self) -> Result<T, StoreError> {
         if self.status != 200 {
             return Err(unexpected_status(self.status));
         }
@@ -120,10 +124,11 @@
     let mut conn = conn.await.map_err(|error| transport_error(&error))?;
     let status = conn.status().map_or(0, |status| status as u16);
     let body = conn.response_body().with_max_len(RESPONSE_MAX_BYTES);
-    let text = body
-        .read_string()
+    let bytes = body
+        .read_bytes()
         .await
         .map_err(|error| StoreError::OutcomeUnknown(error.to_string()))?;
+    let text = json_text(bytes);
     Ok(StoreResponse { status, text })
 }
 
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -2,14 +2,15 @@
 
 use std::{sync::Arc, time::Duration};
 
+use percent_encoding::{utf8_percent_encode, AsciiSet, PercentEncode, NON_ALPHANUMERIC};
 use serde::Deserialize;
 use trillium_client::Conn;
 use trillium_http::Method;
 
 use crate::{
     api::{
-        BoxFuture, Condition, InstanceList, InstanceSource, Key, Listed, Object, ObjectStore,
-        StoreError,
+        readable_items, BoxFuture, Condition, InstanceList, InstanceSource, Key, Listed, Object,
+        ObjectStore, StoreError,
     },
     client::{unexpected_status, StoreClient, StoreResponse},
     limiter::{CallKind, RateLimits},
@@ -41,6 +42,7 @@
 
 #[derive(Deserialize)]
 struct ListBody {
+    #[serde(deserialize_with = "readable_items")]
     objects: Vec<ListedBody>,
 }
 
@@ -221,18 +223,16 @@
     format!("/objects/{kind}/{name}")
 }
 
-/// Percent-encodes all bytes that are not allowed in a path segment.
-fn path_segment(text: &str) -> String {
-    use std::fmt::Write;
-
-    let mut segment = String::with_capacity(text.len());
-    for byte in text.bytes() {
-        if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
-            segment.push(char::from(byte));
-            continue;
-        }
-        // Writing to a `String` can't fail.
-        let _ = write!(segment, "%{byte:02X}");
-    }
-    segment
+/// Bytes that are not allowed in a path segment: all but the unreserved characters of
+/// RFC 3986.
+const RESERVED: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~');
+
+/// Percent-encodes all bytes that are not allowed in a path segment or in the value of a
+/// query.
+pub fn path_segment(text: &str) -> PercentEncode<'_> {
+    utf8_percent_encode(text, RESERVED)
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -8,6 +8,7 @@
 mod client;
 mod connector;
 mod http;
+mod json_text;
 mod limiter;
 
 pub use api::{
@@ -15,5 +16,5 @@
     Object, ObjectStore, Role, StoreError,
 };
 pub use client::{unexpected_status, StoreClient, StoreResponse};
-pub use http::HttpPlatform;
+pub use http::{path_segment, HttpPlatform};
 pub use limiter::{CallKind, RateLimits, TokenBucket};
--- a/crates/store/tests/suite/responses.rs
+++ b/crates/store/tests/suite/responses.rs
@@ -19,6 +19,8 @@
 enum Behavior {
     /// Responds with a status and a body.
     Responds(u16, &'static str),
+    /// Responds with status 200 and a body that need not be text.
+    RespondsBytes(&'static [u8]),
     /// Reads the request and closes the connection.
     ClosesAfterRequest,
     /// Sends a body that is shorter than its content length.
@@ -45,6 +47,13 @@
                 );
                 let _ = conn.write_all(response.as_bytes());
             }
+            Behavior::RespondsBytes(body) => {
+                let length = body.len();
+                let head = format!(
+                    "HTTP/1.1 200 X\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n"
+                );
+                let _ = conn.write_all(&[head.as_bytes(), body].concat());
+            }
             Behavior::ClosesAfterRequest => {}
             Behavior::TruncatesBody => {
                 let response = "HTTP/1.1 200 X\r\ncontent-length: 900\r\n\r\n{\"version\":";
@@ -211,3 +220,55 @@
     assert_eq!(first, Ok(1));
     assert!(matches!(second, Err(StoreError::Refused(_))), "{second:?}");
 }
+
+/// Guards against a failure: one entry that could not be read, such as one of a role of a
+/// later version, failed the whole list of instances.
+#[rstest]
+#[case::unknown_role(r#"{"instance":"x","role":"batch","zone":"z","addr":"a","state":"live"}"#)]
+#[case::half_of_a_surrogate_pair(
+    r#"{"instance":"\ud83d","role":"entry","zone":"z","addr":"a","state":"live"}"#
+)]
+#[case::number_beyond_a_float(r#"{"instance":"x","weight":1e999,"role":7}"#)]
+#[case::another_type("[]")]
+fn unreadable_instance_is_left_out_of_the_list(#[case] item: &str) {
+    let readable =
+        r#"{"instance":"entry-1","role":"entry","zone":"z","addr":"10.0.0.1:1","state":"live"}"#;
+    let body = format!(r#"{{"version":4,"instances":[{item},{readable}]}}"#);
+    let (addr, _server) = start_platform(Behavior::Responds(200, body.leak()));
+    let platform = HttpPlatform::new(&addr);
+
+    let list = smol::block_on(platform.instances(None, Duration::from_secs(1)));
+
+    let list = list.expect("readable list").expect("a list");
+    let ids: Vec<&str> = list
+        .instances
+        .iter()
+        .map(|listed| listed.instance.as_str())
+        .collect();
+    assert_eq!((list.version, ids), (4, vec!["entry-1"]));
+}
+
+/// Bytes that are no text cost the entry that contains them.
+#[test]
+fn instance_with_bytes_that_are_not_text_is_left_out_of_the_list() {
+    let (addr, _server) = start_platform(Behavior::RespondsBytes(
+        b"{\"version\":4,\"instances\":[\
+        {\"instance\":\"\xff\xfe\",\"role\":\"entry\",\"zone\":\"z\",\"addr\":\"a\",\"state\":\"live\"},\
+        {\"instance\":\"entry-1\",\"role\":\"entry\",\"zone\":\"z\",\"addr\":\"a\",\"state\":\"live\"}]}",
+    ));
+    let platform = HttpPlatform::new(&addr);
+
+    let list = smol::block_on(platform.instances(None, Duration::from_secs(1)));
+
+    let list = list.expect("readable list").expect("a list");
+    assert_eq!(list.instances.len(), 1);
+    assert_eq!(list.instances[0].instance.as_str(), "entry-1");
+}
+
+/// Names are encoded as they are needed in a path.
+#[test]
+fn names_are_percent_encoded() {
+    let encoded = store::path_segment("a&b c/\u{e9}~1").to_string();
+
+    assert_eq!(encoded, "a%26b%20c%2F%C3%A9~1");
+}
--- a/crates/telemetry/src/events/state.rs
+++ b/crates/telemetry/src/events/state.rs
@@ -32,6 +32,13 @@
             answers: bool,
         } = "The platform's store stopped responding, or responds again.",
             "Check the platform's status. During an outage requests are still served, at-most-once calls are refused and submissions wait.";
+        3004 Warn ListItemUnreadable {
+            /// Position of the item in the list, from 0.
+            index: usize,
+            /// Description of the decoding error.
+            reason: String,
+        } = "An item of a list of the platform, such as the entry of an instance, could not be decoded and is left out.",
+            "Find out which program wrote the item; expected during a roll-out of a version that adds a role.";
         3010 Info MembershipChanged {
             /// Version of the platform's instance list.
             list_version: u64,
