Gateway: a connection that ends during the upload is no end of its response

Callers got the part as a complete response, with the signature, where the instance ended the connection before the reset; streams ended as complete.

Cause: the HTTP library takes a clean end of the connection for the end of such a response, also with most of the request still to write. Ruled out by the same tests: a plain reset, which reaches the response whether the upload or the response meets it first.

Change: the stream below the library knows whether all was sent. An end before that, or after a failed write, is an error of the response.

--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -19,11 +19,11 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
-use super::limited_stream::{LimitedStream, UnproductiveBytes};
+use super::instance_stream::{InstanceStream, UnproductiveBytes};
 
 /// Future that performs the I/O of a connection. The task that uses the
 /// connection polls it, so that an exchange needs no second task.
-type Driver = http1::Connection<FuturesIo<LimitedStream>, Full<Bytes>>;
+type Driver = http1::Connection<FuturesIo<InstanceStream>, Full<Bytes>>;
 
 /// Maximum read buffer of one connection, in bytes: enough for a large head or
 /// a few events.
@@ -87,7 +87,7 @@
         let stream = TcpStream::connect(addr).or(timed_out).await?;
         stream.set_nodelay(true)?;
         let unproductive = UnproductiveBytes::default();
-        let stream = LimitedStream::new(stream, UNPRODUCTIVE_MAX_BYTES, unproductive.clone());
+        let stream = InstanceStream::new(stream, UNPRODUCTIVE_MAX_BYTES, unproductive.clone());
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(BUFFER_MAX_BYTES)
             .handshake(FuturesIo::new(stream))
--- a/crates/gateway/src/upstream/limited_stream.rs
+++ b/crates/gateway/src/upstream/instance_stream.rs
@@ -1,9 +1,13 @@
-//! Transport that fails once an instance sends too many bytes that advance no
+//! Transport to an instance that fails where an HTTP parser would accept a faulty
 //! response.
 //!
 //! A faulty instance may send bytes without end: interim responses, a chunk size
-//! padded with zeros or spaces. An HTTP parser consumes these without ever
-//! reporting a result, so they are bounded below it.
+//! padded with zeros or spaces. A parser consumes these without ever reporting a
+//! result, so they are bounded below it.
+//!
+//! A response without a length ends with its connection. If the instance ends the
+//! connection before it has received the request, it broke off, and its response must
+//! not count as complete.
 
 use std::{
     io,
@@ -36,15 +40,19 @@
     }
 }
 
-/// TCP stream whose reads fail after `max_bytes` unproductive bytes.
+/// TCP stream whose reads fail after `max_bytes` unproductive bytes, and instead of
+/// reporting an end of the connection before all that was written has been sent.
 #[derive(Debug)]
-pub(super) struct LimitedStream {
+pub(super) struct InstanceStream {
     stream: TcpStream,
     max_bytes: usize,
     unproductive: UnproductiveBytes,
+    /// Whether the user of the stream has more to write, or a write failed. The error of
+    /// a reset is reported only once: after a write reported it, reads see a clean end.
+    is_write_pending: bool,
 }
 
-impl LimitedStream {
+impl InstanceStream {
     pub(super) fn new(
         stream: TcpStream,
         max_bytes: usize,
@@ -54,17 +62,24 @@
             stream,
             max_bytes,
             unproductive,
+            is_write_pending: false,
         }
     }
 }
 
-impl AsyncRead for LimitedStream {
+impl AsyncRead for InstanceStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         let read_bytes = ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        if read_bytes == 0 && !buf.is_empty() && self.is_write_pending {
+            return Poll::Ready(Err(io::Error::new(
+                io::ErrorKind::ConnectionAborted,
+                "the instance ended the connection before it had received the request",
+            )));
+        }
         if self.unproductive.add(read_bytes) > self.max_bytes {
             return Poll::Ready(Err(io::Error::new(
                 io::ErrorKind::InvalidData,
@@ -78,17 +93,21 @@
     }
 }
 
-impl AsyncWrite for LimitedStream {
+impl AsyncWrite for InstanceStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.is_write_pending = true;
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
+    /// Called once everything was written.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.is_write_pending = false;
+        Poll::Ready(Ok(()))
     }
 
     fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -8,7 +8,7 @@
 //! connection API directly.
 
 mod connection;
-mod limited_stream;
+mod instance_stream;
 mod pool;
 
 pub(crate) use connection::{Connection, ExchangeError, NotSent, Response};
