Gateway, agent: a status below 200 is no response

Cause: the HTTP libraries report 101 as the response, and what was neither a success nor a failure counted as an answer.

Change: a status below 200 is a failed attempt at the gateway, and a fault of the upstream at the agent; the request may have run.

--- a/crates/agent/src/upstream/fault.rs
+++ b/crates/agent/src/upstream/fault.rs
@@ -23,10 +23,11 @@
         /// Maximum time, from [`crate::Settings::upstream_silence`].
         limit_ms: u64,
     },
-    /// The upstream returned an error status for a completion.
+    /// The upstream returned an error status for a completion, or one for a service call
+    /// that ends no request.
     #[error("the upstream returned status {status}")]
     Status {
-        /// HTTP status code other than 200.
+        /// HTTP status code; 0 if the response has none.
         status: u16,
     },
     /// The response belongs to another request, is incomplete or malformed.
--- a/crates/agent/src/upstream/service.rs
+++ b/crates/agent/src/upstream/service.rs
@@ -6,6 +6,10 @@
 /// Maximum size of the response body of a plain service.
 const RESPONSE_MAX_BYTES: usize = 16 << 20;
 
+/// Lowest status of a final response. Lower ones announce another response or another
+/// protocol, which the agent does not ask for.
+const FINAL_STATUS_MIN: u16 = 200;
+
 /// Size of the read buffer.
 const READ_BYTES: usize = 16 << 10;
 
@@ -27,12 +31,15 @@
 /// # Errors
 ///
 /// Returns [`Fault`] if the response is truncated, too large or states no
-/// length.
+/// length, or if its status ends no request.
 pub(crate) async fn read_response(
     mut response: UpstreamResponse,
     has_body: bool,
 ) -> Result<ServiceResponse, Fault> {
     let status = response.status();
+    if status < FINAL_STATUS_MIN {
+        return Err(Fault::Status { status });
+    }
     let content_type = response.header("content-type").map(Into::into);
     let expected_bytes = expected_bytes(&response, has_body)?;
     let mut body = Vec::new();
--- a/crates/agent/tests/service.rs
+++ b/crates/agent/tests/service.rs
@@ -2,6 +2,13 @@
 
 mod support;
 
+use std::{
+    io::{Read, Write},
+    net::TcpListener,
+    thread,
+    time::Duration,
+};
+
 use rstest::rstest;
 use support::{call, document, settings, start, FakeEngine, ReceivedRequest, TestEntry};
 use types::Verdict;
@@ -79,6 +86,47 @@
     });
 }
 
+/// Starts a service on a thread that answers its first call with `text`, in which `ID`
+/// stands for the request id, and closes the connection. Returns its address.
+fn start_raw_service(text: String) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind to a local port");
+    let addr = listener.local_addr().expect("local address").to_string();
+    thread::spawn(move || {
+        for conn in listener.incoming() {
+            let mut conn = conn.expect("accept");
+            let mut bytes = vec![0; 64 << 10];
+            let count = conn.read(&mut bytes).unwrap_or(0);
+            let request = String::from_utf8_lossy(&bytes[..count]).to_ascii_lowercase();
+            let id = request.split("x-request-id: ").nth(1).unwrap_or_default();
+            let id = id.split("\r\n").next().unwrap_or_default();
+            // The agent may have closed the connection.
+            let _ = conn.write_all(text.replace("ID", id).as_bytes());
+            thread::sleep(Duration::from_millis(60));
+        }
+    });
+    addr
+}
+
+/// Guards against a failure seen on other systems: an answer whose status was 000 reached
+/// a caller as an answer. Neither it nor any other status that ends no request may.
+#[rstest]
+fn response_with_an_impossible_status_is_refused(
+    #[values("000", "099", "101", "199", "1000", "20", "2x0", "")] status: &str,
+) {
+    smol::block_on(async {
+        let head = format!("HTTP/1.1 {status} Any\r\nx-request-id: ID\r\n");
+        let addr = start_raw_service(format!("{head}content-length: 2\r\n\r\nok"));
+        let document = document(config::UpstreamKind::Service, 4);
+        let agent = start(settings(&addr), document).await;
+        let dispatch = TestEntry::new(&agent).spawn_dispatch(call("r-1", "POST", "/orders"));
+
+        let response = dispatch.await;
+
+        assert_eq!(response.status, 502);
+        assert_eq!(response.error().error.verdict, Verdict::MayHaveRun);
+    });
+}
+
 #[test]
 fn non_idempotent_call_completes_after_caller_disconnects() {
     smol::block_on(async {
--- a/crates/gateway/src/attempt/receive.rs
+++ b/crates/gateway/src/attempt/receive.rs
@@ -26,6 +26,10 @@
 /// that the instance can still report in time whether the request ran.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(15);
 
+/// Lowest status of a final response. Lower ones announce another response or another
+/// protocol, which the gateway does not ask for.
+const FINAL_STATUS_MIN: u16 = 200;
+
 /// Successful result of an attempt: a complete response, or a stream whose
 /// first event has arrived.
 pub(super) enum Received {
@@ -198,6 +202,11 @@
                 retry_reserved: false,
             });
         }
+        if status < FINAL_STATUS_MIN {
+            return Err(AttemptError::failed(format!(
+                "the instance responded {status}, which is not the status of a final response"
+            )));
+        }
         let is_success = (200..300).contains(&status);
         let is_buffered = matches!(self.request.route.response_mode, ResponseMode::Buffered);
         if id_matches && (is_buffered || !is_success) {
