Request bodies: the configured size is the only limit

Found while playing long uploads: bodies above 10 MiB got 400, or 413 with their length, whatever size the configuration allows. Cause: the HTTP library has a limit of its own for a request body, and its error counted as invalid framing. It is set to the configured one for each body, at both roles.

Before: 2 of 2 cases of `configured_body_size_is_the_only_limit` red; after: green.

--- a/crates/net/src/request_body.rs
+++ b/crates/net/src/request_body.rs
@@ -58,7 +58,8 @@
         return Err(BodyError::TooLarge);
     }
     let limit_bytes = usize::try_from(declared_bytes.unwrap_or(max_bytes)).unwrap_or(usize::MAX);
-    let mut body = body;
+    // The HTTP library has a limit of its own, which may be lower.
+    let mut body = body.with_max_len(max_bytes.saturating_add(1));
     let mut bytes = Vec::new();
     if declared_bytes.is_some() {
         bytes.reserve_exact(limit_bytes);
