Duties: no permit, token or fixed count outlives the era of the store

Cause: tickets were ordered by plain revisions, and a process took the tickets of the copy for all there are: the copy may lack the ticket of a holder that has a permit.

Change: a ticket's order holds the era. A process that notices a later era, by a response or by tickets that name an earlier one, gives its own ticket up and takes the lease for held until all permits of the era before have ended. The holder before contends first and fixes its windows once more; any other abandons windows that may have been sent and that the copy lacks.

--- a/crates/coord/src/ticket_lease/machine.rs
+++ b/crates/coord/src/ticket_lease/machine.rs
@@ -109,7 +109,7 @@
 ///
 /// A permit is given only while no permit of another process can be in use. No two
 /// processes ever get permits with the same fencing token, and tokens rise with
-/// each change of holder.
+/// each change of holder, also over eras of the store's history.
 #[derive(Clone, Debug)]
 pub struct TicketLease {
     instance: InstanceId,
@@ -141,6 +141,10 @@
     /// Time by which this process contends later than the first in rank.
     stagger_ms: u64,
     read_interval_ms: u64,
+    /// Era of the store's history, 0 before it is known and for a store without eras.
+    era: u32,
+    /// Time at which it was noticed that the store came back from an older copy.
+    restored_at: Option<TimeMs>,
     state: State,
 }
 
@@ -173,6 +177,8 @@
             contend_from: TimeMs(0),
             stagger_ms: 0,
             read_interval_ms: READ_INTERVAL_MS,
+            era: 0,
+            restored_at: None,
             state: State::Follower,
         }
     }
@@ -186,6 +192,51 @@
         self.read_interval_ms = read_interval_ms;
     }
 
+    /// Records the era that a response of the store named. Call it before the response
+    /// itself is handled.
+    ///
+    /// In a later era the ticket of this process may be missing, or that of another
+    /// process that has a permit. The own ticket is given up, and the lease counts as
+    /// held until all permits of the era before have ended.
+    pub fn on_era(&mut self, now: TimeMs, era: u32) {
+        if era <= self.era {
+            return;
+        }
+        let is_first = self.era == 0 && !self.has_read();
+        self.era = era;
+        if !is_first {
+            self.become_follower(now);
+            self.on_restored(now);
+        }
+    }
+
+    /// Returns whether a list or check was ever handled.
+    fn has_read(&self) -> bool {
+        self.quiet_since.is_some() || self.has_listed
+    }
+
+    fn on_restored(&mut self, now: TimeMs) {
+        self.restored_at = Some(now);
+        self.quiet_since = Some(now);
+        self.read_at = now;
+    }
+
+    /// Returns the time at which it was noticed that the store came back from an older
+    /// copy.
+    pub fn restored_at(&self) -> Option<TimeMs> {
+        self.restored_at
+    }
+
+    /// Returns whether no other process can have got the lease since this one has it: its
+    /// last renewal that counts is so recent that others still wait for its expiry.
+    pub fn has_held_until(&self, now: TimeMs) -> bool {
+        let State::Owner(owner) = &self.state else {
+            return false;
+        };
+        let is_recent = |valid_from: TimeMs| now < valid_from + self.expiry_ms();
+        owner.is_holder && owner.valid_from.is_some_and(is_recent)
+    }
+
     /// Postpones the next read of a process without a ticket, because the holder
     /// was heard in another way.
     pub fn postpone_read(&mut self, until: TimeMs) {
@@ -324,6 +375,7 @@
             released: false,
             held: false,
             reported_through: self.reported_through,
+            era: self.era,
             former_holders: self.former_holders.clone(),
         }
     }
@@ -419,6 +471,11 @@
         let is_own = |listed: &&ListedTicket| Some(&listed.name) == own_name.as_ref();
         let own = tickets.iter().find(is_own);
         let others: Vec<&ListedTicket> = tickets.iter().filter(|one| !is_own(one)).collect();
+        let is_of_earlier_era = |listed: &&ListedTicket| listed.ticket.era < self.era;
+        if self.restored_at.is_none() && others.iter().any(is_of_earlier_era) {
+            self.on_restored(now);
+            self.read_at = now + self.read_interval_ms;
+        }
         self.observe(now, &others);
         match (&self.state, own) {
             (State::Follower, _) => self.contend_if_vacant(now),
@@ -491,15 +548,27 @@
     /// Returns whether all other tickets have not changed for long enough that no
     /// owner can have a permit, or the newest one is released.
     fn is_vacant(&self, now: TimeMs) -> bool {
-        let lease_ms = match self.is_released {
+        let lease_ms = match self.is_released && !self.may_hide_holder(now) {
             true => 0,
-            false => self.timing.duration_ms + self.timing.margin_ms,
+            false => self.expiry_ms(),
         };
         let expiry_ms = lease_ms + self.stagger_ms;
         self.quiet_since
             .is_some_and(|since| now.since(since) >= expiry_ms)
     }
 
+    /// Time without a change of the tickets after which no owner can have a permit, in
+    /// milliseconds.
+    fn expiry_ms(&self) -> u64 {
+        self.timing.duration_ms + self.timing.margin_ms
+    }
+
+    /// Returns whether the store may have lost the ticket of a process that has a permit.
+    fn may_hide_holder(&self, now: TimeMs) -> bool {
+        self.restored_at
+            .is_some_and(|at| now.since(at) < self.expiry_ms())
+    }
+
     fn learn(&mut self, listed: &ListedTicket) {
         self.reported_through = self.reported_through.max(listed.ticket.reported_through);
     }
@@ -639,9 +708,8 @@
     }
 
     fn is_vacant_without_stagger(&self, now: TimeMs) -> bool {
-        let expiry_ms = self.timing.duration_ms + self.timing.margin_ms;
-        let is_quiet = |since: TimeMs| now.since(since) >= expiry_ms;
-        self.is_released || self.quiet_since.is_some_and(is_quiet)
+        let is_quiet = |since: TimeMs| now.since(since) >= self.expiry_ms();
+        !self.may_hide_holder(now) && (self.is_released || self.quiet_since.is_some_and(is_quiet))
     }
 
     fn become_follower(&mut self, now: TimeMs) {
--- a/crates/coord/src/ticket_lease/mod.rs
+++ b/crates/coord/src/ticket_lease/mod.rs
@@ -18,6 +18,13 @@
 //! Tickets that vanish without having been released count as just renewed, because
 //! their owners may hold the lease until they see it.
 //!
+//! A store that comes back from an older copy may have lost the ticket of a holder, and
+//! with it all that the above rests on. [`ListedTicket::revision`] therefore orders
+//! later eras of the store's history after earlier ones, and each process that notices
+//! a new era gives its ticket up and waits until no permit of the era before can be
+//! in use. A process that starts afterwards notices it by the tickets: each names the
+//! era in which it was written.
+//!
 //! Clocks of different processes are never compared, as in [`crate::lease`].
 
 mod machine;
@@ -53,11 +60,23 @@
     /// Last usage window up to which all are reported or abandoned.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub reported_through: Option<u64>,
+    /// Era of the store's history in which this value was written, 0 for a store without
+    /// eras.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub era: u32,
     /// Owners of the newest tickets before this one, the latest first.
     #[serde(default)]
     pub former_holders: Vec<FormerHolder>,
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "signature that serde requires"
+)]
+fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
+
 /// Owner of an earlier ticket, which may have held the lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FormerHolder {
@@ -72,7 +91,8 @@
 pub struct ListedTicket {
     /// Name of the object.
     pub name: String,
-    /// Revision of the last write.
+    /// Revision of the last write; higher in a later era of the store's history than in
+    /// any earlier one.
     pub revision: u64,
     /// Value.
     pub ticket: Ticket,
--- a/crates/coord/tests/ticket_lease_model.rs
+++ b/crates/coord/tests/ticket_lease_model.rs
@@ -1,5 +1,5 @@
 //! Model test of the ticket lease under pauses, lost responses, delayed writes,
-//! restarts and stale checks.
+//! restarts, stale checks, and a store that comes back from an older copy.
 //!
 //! Three processes, two of them with one name, contend for the lease and send
 //! orders to a receiver that judges them as the platform does.
@@ -43,6 +43,10 @@
     /// A process is replaced by another one of the same name.
     Restart(usize),
     Release(usize),
+    /// The store keeps a copy of its tickets.
+    Copy,
+    /// The store comes back from its copy, with this many revisions given out since.
+    Restore(u64),
 }
 
 fn op() -> impl Strategy<Value = Op> {
@@ -64,6 +68,15 @@
     ]
 }
 
+/// As [`op`], with a store that is restored from copies.
+fn op_with_restores() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        12 => op(),
+        1 => Just(Op::Copy),
+        2 => prop_oneof![Just(0), 0..40_u64, Just(10_000)].prop_map(Op::Restore),
+    ]
+}
+
 #[derive(Clone, Debug)]
 enum StoreWrite {
     Create(String, Ticket),
@@ -80,8 +93,11 @@
 
 struct Simulation {
     now: TimeMs,
+    era: u32,
     revision: u64,
+    /// Tickets with the revisions of their last writes, which are unique within an era.
     tickets: Vec<ListedTicket>,
+    copy: (u64, Vec<ListedTicket>),
     delayed: Vec<StoreWrite>,
     pending: Vec<Order>,
     /// Orders in the sequence in which they took effect.
@@ -100,8 +116,10 @@
     fn new(is_fencing_checked: bool) -> Self {
         let mut simulation = Self {
             now: TimeMs(0),
+            era: 0,
             revision: 7,
             tickets: Vec::new(),
+            copy: (7, Vec::new()),
             delayed: Vec::new(),
             pending: Vec::new(),
             applied: Vec::new(),
@@ -144,6 +162,23 @@
         WriteResult::Written(revision)
     }
 
+    /// Returns the tickets as a list shows them: with positions in the present era.
+    fn listed(&self) -> Vec<ListedTicket> {
+        let tickets = self.tickets.iter().cloned();
+        tickets
+            .map(|ticket| ListedTicket {
+                revision: u64::from(self.era) << 40 | ticket.revision,
+                ..ticket
+            })
+            .collect()
+    }
+
+    fn restore(&mut self, revisions_since: u64) {
+        self.era += 1;
+        self.revision = self.copy.0 + revisions_since;
+        self.tickets = self.copy.1.clone();
+    }
+
     fn advance(&mut self, span_ms: u64) {
         self.now = self.now + span_ms;
         self.pending.sort_by_key(|order| order.effect_at);
@@ -169,17 +204,27 @@
             return;
         }
         let now = self.now;
-        let step = self.processes[process].next(now);
+        let era = self.era;
+        let listed = self.listed();
+        let lease = &mut self.processes[process];
+        let step = lease.next(now);
         let write = match step {
             Step::WaitUntil(_) => return,
             Step::Check | Step::List if !matches!(fault, Fault::None) => {
-                return self.processes[process].on_read_failed(now);
+                return lease.on_read_failed(now);
+            }
+            Step::Check => {
+                lease.on_era(now, era);
+                return lease.on_activity(now, &listed);
+            }
+            Step::List => {
+                lease.on_era(now, era);
+                return lease.on_listed(now, &listed);
             }
-            Step::Check => return self.processes[process].on_activity(now, &self.tickets),
-            Step::List => return self.processes[process].on_listed(now, &self.tickets),
             Step::Delete { name } => {
                 self.tickets.retain(|listed| listed.name != name);
-                return self.processes[process].on_deleted();
+                lease.on_deleted();
+                return lease.on_era(now, era);
             }
             Step::Create { name, ticket } => StoreWrite::Create(name, ticket),
             Step::Replace { name, ticket } => StoreWrite::Replace(name, ticket),
@@ -197,6 +242,9 @@
                 WriteResult::OutcomeUnknown
             }
         };
+        if !matches!(result, WriteResult::OutcomeUnknown) {
+            self.processes[process].on_era(now, era);
+        }
         self.processes[process].on_written(now, result);
     }
 
@@ -243,6 +291,8 @@
                 self.processes[process].release();
             }
             Op::Release(_) => {}
+            Op::Copy => self.copy = (self.revision, self.tickets.clone()),
+            Op::Restore(revisions_since) => self.restore(revisions_since),
         }
     }
 
@@ -294,9 +344,15 @@
     None
 }
 
+/// Number of schedules of each property; `LIMPETGW_SCHEDULES` sets another one.
+const SCHEDULES: u32 = 2_000;
+
 fn config() -> ProptestConfig {
+    let schedules = std::env::var("LIMPETGW_SCHEDULES").ok();
     ProptestConfig {
-        cases: 2_000,
+        cases: schedules
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(SCHEDULES),
         failure_persistence: None,
         rng_seed: proptest::test_runner::RngSeed::Fixed(5),
         ..ProptestConfig::default()
@@ -324,6 +380,43 @@
         prop_assert_eq!(broken_rule(&simulation.applied), None);
     }
 
+    /// Guards the same rules against a store that loses tickets, and whose revisions are
+    /// given out again: tokens must rise all the same, and no permit of the era before
+    /// may be in use together with one of the present era.
+    #[test]
+    fn applied_orders_keep_the_rules_if_the_store_is_restored(
+        is_fencing_checked in any::<bool>(),
+        has_era in any::<bool>(),
+        ops in proptest::collection::vec(op_with_restores(), 1..40),
+    ) {
+        let mut simulation = Simulation::new(is_fencing_checked);
+        // A store that names no era before it is first restored.
+        simulation.era = u32::from(has_era);
+
+        for op in ops {
+            simulation.run(op);
+            prop_assert!(simulation.permits() <= 1, "two processes have permits");
+        }
+        simulation.advance(TIMING.longest_order_ms);
+
+        prop_assert_eq!(broken_rule(&simulation.applied), None);
+    }
+
+    /// Guards against a restore after which nobody gets the lease any more.
+    #[test]
+    fn lease_is_held_again_after_the_store_was_restored(
+        ops in proptest::collection::vec(op_with_restores(), 1..40),
+    ) {
+        let mut simulation = Simulation::new(false);
+        for op in ops {
+            simulation.run(op);
+        }
+
+        simulation.run_undisturbed(&[0, 1, 2], 25_000);
+
+        prop_assert_eq!(simulation.permits(), 1);
+    }
+
     /// Guards against faults after which nobody gets the lease any more.
     #[test]
     fn lease_is_held_again_after_faults(
@@ -421,6 +514,38 @@
     assert!(simulation.processes[1].permit(simulation.now).is_none());
 }
 
+/// Guards against a copy whose newest ticket is released, while the holder after it, whose
+/// ticket is lost, has a permit. The other process has either read the tickets before, or
+/// starts after the store came back.
+#[rstest]
+fn released_ticket_of_a_copy_does_not_make_the_lease_vacant(
+    #[values(true, false)] starts_later: bool,
+) {
+    let mut simulation = Simulation::new(true);
+    simulation.era = 1;
+    simulation.run_undisturbed(&[0], 6_000);
+    simulation.run_undisturbed(&[0, 1], 1_000);
+    simulation.processes[0].set_contention(false, 0, 700);
+    simulation.processes[0].release();
+    simulation.run_undisturbed(&[0], 500);
+    simulation.run(Op::Copy);
+    simulation.run_undisturbed(&[1], 1_000);
+    assert!(simulation.processes[1].permit(simulation.now).is_some());
+
+    simulation.restore(0);
+    if starts_later {
+        simulation.run(Op::Restart(2));
+    }
+    for _ in 0..30 {
+        simulation.run_undisturbed(&[2], 50);
+        assert!(simulation.permits() <= 1, "two processes have permits");
+    }
+
+    let token_before = simulation.processes[1].held_token();
+    simulation.run_undisturbed(&[2], 6_000);
+    assert!(simulation.processes[2].held_token() > token_before);
+}
+
 /// The token must rise although the store has lost all tickets, as long as its
 /// revisions rise.
 #[rstest]
--- a/crates/gateway/src/duties/holder.rs
+++ b/crates/gateway/src/duties/holder.rs
@@ -56,6 +56,13 @@
 /// Time by which it contends later than the others then.
 const YIELDED_STAGGER_MS: u64 = 4_000;
 
+/// Time by which a process contends later than the holder before, which knows what it
+/// has fixed, after the store came back from an older copy.
+const RESTORED_STAGGER_MS: u64 = 1_000;
+
+/// Time for which it does so, in milliseconds: the lease is held again by then.
+const RESTORED_MS: u64 = 10_000;
+
 /// Time after a call without an answer before the lease is released, in
 /// milliseconds: the call may still arrive. The next holder waits, too, where the
 /// platform does not check the token.
@@ -134,6 +141,9 @@
     is_yielding: bool,
     /// Time at which it was last released for that.
     yielded_at: Option<TimeMs>,
+    /// What this process has fixed when it lost the lease because the store came back
+    /// from an older copy. Nobody else has fixed these windows with other counts.
+    fixed_before_restore: Option<IndexMap<Window, WindowCounts>>,
 }
 
 /// State while the lease is held.
@@ -142,6 +152,9 @@
     plan: ReportPlan,
     /// Counts that are known to be fixed in the store.
     fixed: IndexMap<Window, WindowCounts>,
+    /// Last window whose fixed counts the store may have lost. Up to it, windows that
+    /// are not fixed may have been sent and are abandoned: other counts must not follow.
+    lost_through: Option<Window>,
     backoff: SendBackoff,
     acquired_at: TimeMs,
     /// Time before which nothing is fixed or sent.
@@ -179,6 +192,7 @@
             unreachable_since: None,
             is_yielding: false,
             yielded_at: None,
+            fixed_before_restore: None,
         }
     }
 
@@ -187,6 +201,7 @@
         loop {
             let now = boot_now();
             self.follow_pauses(now);
+            self.follow_era(now);
             let is_leaving = self.update_contention(now);
             if is_leaving && !self.lease.has_ticket() {
                 if self.has_new_settings() {
@@ -259,6 +274,9 @@
         if self.has_yielded(now) {
             stagger_ms += YIELDED_STAGGER_MS;
         }
+        if self.is_just_restored(now) && self.fixed_before_restore.is_none() {
+            stagger_ms += RESTORED_STAGGER_MS;
+        }
         let read_interval_ms = match rank {
             0..FREQUENT_READERS => READ_INTERVAL_MS,
             FREQUENT_READERS..OCCASIONAL_READERS => 2 * READ_INTERVAL_MS,
@@ -321,6 +339,57 @@
         }
     }
 
+    /// Gives the lease up if the store came back from an older copy.
+    fn follow_era(&mut self, now: TimeMs) {
+        let was_holder = self.lease.has_held_until(now);
+        let restored_at = self.lease.restored_at();
+        self.lease.on_era(now, self.store.era().number());
+        if self.lease.restored_at() == restored_at {
+            return;
+        }
+        self.disturbed_at = Some(now);
+        let held = self.held.as_ref().filter(|_| was_holder);
+        self.fixed_before_restore = held.map(|held| held.fixed.clone());
+    }
+
+    /// Returns whether the store came back from an older copy so recently that another
+    /// process should contend later than the holder before.
+    fn is_just_restored(&self, now: TimeMs) -> bool {
+        let restored_at = self.lease.restored_at();
+        restored_at.is_some_and(|at| now.since(at) < RESTORED_MS)
+    }
+
+    /// Returns the last window that the holder before the store came back may have
+    /// fixed, so that the store may have lost its counts; `None` if there is no such
+    /// holder, or it is this process.
+    fn lost_through(&self) -> Option<Window> {
+        let restored_at = self.lease.restored_at()?;
+        if self.fixed_before_restore.is_some() {
+            return None;
+        }
+        let permits_end = restored_at + self.settings.lease.as_millis() as u64;
+        self.timing
+            .window_at(self.unix_ms(permits_end))
+            .checked_sub(1)
+    }
+
+    /// Fixes what this process had fixed before the store came back once more, so that
+    /// a later holder finds it.
+    async fn fix_again(&mut self, fixed: &mut Vec<(Window, WindowCounts)>) {
+        let reported_through = self.lease.reported_through();
+        for (window, counts) in self.fixed_before_restore.take().into_iter().flatten() {
+            let is_listed = fixed.iter().any(|(other, _)| *other == window);
+            if is_listed || reported_through.is_some_and(|through| window <= through) {
+                continue;
+            }
+            // The counts were perhaps sent, so they count without the answer, too.
+            if let Err(error) = self.store.fix_window(window, &counts).await {
+                log::warn!("usage of window {window} not fixed again: {error}");
+            }
+            fixed.push((window, counts));
+        }
+    }
+
     fn thaw_ms(&self) -> u64 {
         self.settings.thaw.as_millis() as u64 + THAW_MARGIN_MS
     }
@@ -431,7 +500,7 @@
         let Some(first) = first.flatten() else {
             return;
         };
-        let fixed = match self.store.fixed_windows().await {
+        let mut fixed = match self.store.fixed_windows().await {
             Ok(fixed) => fixed,
             Err(error) => {
                 log::warn!("fixed usage not read: {error}");
@@ -439,6 +508,8 @@
                 return;
             }
         };
+        let lost_through = self.lost_through();
+        self.fix_again(&mut fixed).await;
         let reported_through = self.lease.reported_through();
         emit(&GatewayEvent::DutiesAcquired {
             instance: self.app.settings.instance.clone(),
@@ -455,6 +526,7 @@
             token,
             plan: ReportPlan::new(reported_through, first),
             fixed: IndexMap::new(),
+            lost_through,
             backoff: SendBackoff::default(),
             acquired_at: boot_now(),
             work_from: TimeMs(0),
@@ -498,11 +570,13 @@
             .with_metering(|metering| metering.unix_ms(now))?;
         let expected = self.expected_gateways();
         let is_closed = |window| self.is_closed(now, window, &expected);
-        let pending = self
-            .held
-            .as_ref()?
-            .plan
-            .pending(&self.timing, unix_ms, is_closed);
+        let held = self.held.as_ref()?;
+        let mut pending = held.plan.pending(&self.timing, unix_ms, is_closed);
+        if let Pending::Report(window) = pending {
+            if held.lost_through >= Some(window) && !held.fixed.contains_key(&window) {
+                pending = Pending::Abandon(window);
+            }
+        }
         match pending {
             Pending::WaitUntil(at_unix_ms) => Some(now + at_unix_ms.saturating_sub(unix_ms)),
             Pending::Abandon(window) => {
