Accept loop: connections that are open have their turn during a burst

Cause: the limit of connections is applied in the task of a connection, and the accept loop does not wait while connections are queued: on one thread a burst was accepted to the last descriptor before any of them was refused. Each accept then failed at once, again and again. Ruled out by the count of descriptors: a limit that is too high.

Change: accepts alternate with the tasks that are ready, and pause for 20 ms while descriptors are used up. One listener for `gateway`, `entry` and `agent`.

--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -16,11 +16,7 @@
         reason: reason.to_string(),
     };
     let (listener, addr) = net::listen(agent.settings.listen).map_err(listen_error)?;
-    let handle = trillium_smol::config()
-        .without_signals()
-        .with_nodelay()
-        .with_prebound_server(listener)
-        .spawn(routes(agent));
+    let handle = net::server_config(listener).spawn(routes(agent));
     Ok((addr, handle.swansong()))
 }
 
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -161,10 +161,7 @@
     guard: ConnectionGuard<EntryGuard>,
     handler: impl Handler,
 ) -> ServerHandle {
-    trillium_smol::config()
-        .with_prebound_server(socket)
-        .without_signals()
-        .with_nodelay()
+    net::server_config(socket)
         .with_acceptor(guard)
         .with_http_config(HttpConfig::default().with_head_max_len(HEAD_MAX_BYTES))
         .spawn(handler)
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -238,10 +238,7 @@
 
 fn spawn(socket: TcpListener, app: &Arc<App>, handler: impl Handler) -> ServerHandle {
     let guard = ConnectionGuard::new(Arc::new(CallerGuardPolicy(app.clone())));
-    trillium_smol::config()
-        .with_prebound_server(socket)
-        .without_signals()
-        .with_nodelay()
+    net::server_config(socket)
         .with_acceptor(guard.with_budget(app.clients.clone()))
         .with_http_config(HttpConfig::default().with_head_max_len(HEAD_MAX_BYTES))
         .spawn(handler)
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,6 +2,7 @@
 //! connections and timeouts for slow callers, a connector whose errors prove
 //! that nothing was sent, and graceful shutdown behind a load balancer.
 
+mod accept;
 mod client_budget;
 mod connection_guard;
 mod connector;
@@ -11,6 +12,7 @@
 mod request_body;
 mod request_framing;
 
+pub use accept::{server_config, PacedListener};
 pub use client_budget::{BudgetExhausted, ClientBudget, ClientCounts, Component};
 pub use connection_guard::{
     ConnectionGuard, GuardPolicy, GuardedConnection, HeadRejection, RejectionContext,
