Gateway: pass request bodies to instances in pieces

Cause: the HTTP client copies what it is given into the write buffer of the connection, which keeps its size for as long as the connection is pooled. It was given each body in one piece. Ruled out: bodies of callers that are not counted, as the gauge shows them.

The transport learns from the body whether a part is unsent: the buffer can be empty between pieces, and an end of the connection is no end of the response then either.

--- a/crates/gateway/src/attempt/receive.rs
+++ b/crates/gateway/src/attempt/receive.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use http::{Request as HttpRequest, Uri};
-use http_body_util::Full;
 use policy::placement::Placement;
 use types::{ErrorCode, Verdict};
 
@@ -96,7 +95,7 @@
         &self,
         placement: &Placement,
         events: &EventBuffer,
-    ) -> Result<HttpRequest<Full<Bytes>>, Failure> {
+    ) -> Result<HttpRequest<Bytes>, Failure> {
         let request = &self.request;
         let remaining = self.remaining().saturating_sub(DEADLINE_MARGIN);
         let copy = placement.prefix_copy.requested();
@@ -112,7 +111,7 @@
         let target: Uri = request.target.parse().map_err(|_| {
             Failure::not_run(ErrorCode::MalformedRequest, "the path cannot be forwarded")
         })?;
-        let mut http_request = HttpRequest::new(Full::new(request.body.clone()));
+        let mut http_request = HttpRequest::new(request.body.clone());
         *http_request.method_mut() = request.method.clone();
         *http_request.uri_mut() = target;
         *http_request.headers_mut() = self
@@ -129,7 +128,7 @@
         load_guard: LoadGuard,
         connection: Connection,
         lease: Lease,
-        http_request: HttpRequest<Full<Bytes>>,
+        http_request: HttpRequest<Bytes>,
         events: &mut EventBuffer,
     ) -> Result<Received, AttemptError> {
         let instance = load_guard.instance.clone();
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -11,7 +11,6 @@
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use http::{header, HeaderMap, Request};
-use http_body_util::Full;
 use hyper::{
     body::{Body, Incoming},
     client::conn::http1,
@@ -19,11 +18,14 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
-use super::instance_stream::{InstanceStream, UnproductiveBytes};
+use super::{
+    instance_stream::{InstanceStream, UnproductiveBytes},
+    request_body::{RequestBody, UnsentBody},
+};
 
 /// Future that performs the I/O of a connection. The task that uses the
 /// connection polls it, so that an exchange needs no second task.
-type Driver = http1::Connection<FuturesIo<InstanceStream>, Full<Bytes>>;
+type Driver = http1::Connection<FuturesIo<InstanceStream>, RequestBody>;
 
 /// Maximum read buffer of one connection, in bytes: enough for a large head or
 /// a few events.
@@ -66,9 +68,10 @@
 
 /// An open connection with no exchange in progress.
 pub(crate) struct Connection {
-    sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<RequestBody>,
     driver: Pin<Box<Driver>>,
     unproductive: UnproductiveBytes,
+    unsent: UnsentBody,
     idle_since: Instant,
     idle_max: Duration,
 }
@@ -87,7 +90,13 @@
         let stream = TcpStream::connect(addr).or(timed_out).await?;
         stream.set_nodelay(true)?;
         let unproductive = UnproductiveBytes::default();
-        let stream = InstanceStream::new(stream, UNPRODUCTIVE_MAX_BYTES, unproductive.clone());
+        let unsent = UnsentBody::default();
+        let stream = InstanceStream::new(
+            stream,
+            UNPRODUCTIVE_MAX_BYTES,
+            unproductive.clone(),
+            unsent.clone(),
+        );
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(BUFFER_MAX_BYTES)
             .handshake(FuturesIo::new(stream))
@@ -97,6 +106,7 @@
             sender,
             driver: Box::pin(driver),
             unproductive,
+            unsent,
             idle_since: Instant::now(),
             idle_max: DEFAULT_IDLE_MAX,
         })
@@ -122,9 +132,11 @@
     /// [`ExchangeError`] if it may have been.
     pub(crate) async fn send(
         mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<Bytes>,
     ) -> Result<Result<Response, NotSent>, ExchangeError> {
         self.unproductive.reset();
+        let unsent = self.unsent.clone();
+        let request = request.map(|bytes| RequestBody::new(bytes, unsent));
         let mut response = pin!(self.sender.try_send_request(request));
         let mut driver = Some(self.driver);
         let received = poll_fn(|cx| {
@@ -144,6 +156,7 @@
                     sender: self.sender,
                     driver,
                     unproductive: self.unproductive,
+                    unsent: self.unsent,
                 }))
             }
             Err(mut error) => match error.take_message() {
@@ -161,10 +174,11 @@
     pub(crate) headers: HeaderMap,
     body: Incoming,
     ended: bool,
-    sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<RequestBody>,
     /// `None` once the connection is closed.
     driver: Option<Pin<Box<Driver>>>,
     unproductive: UnproductiveBytes,
+    unsent: UnsentBody,
 }
 
 impl Response {
@@ -224,6 +238,7 @@
             sender: self.sender,
             driver,
             unproductive: self.unproductive,
+            unsent: self.unsent,
             idle_since: Instant::now(),
             idle_max: idle_max(&self.headers),
         })
--- a/crates/gateway/src/upstream/instance_stream.rs
+++ b/crates/gateway/src/upstream/instance_stream.rs
@@ -22,6 +22,8 @@
 use futures_lite::{AsyncRead, AsyncWrite};
 use smol::net::TcpStream;
 
+use super::request_body::UnsentBody;
+
 /// Number of bytes read since the response last advanced, shared between a
 /// connection's transport and its user.
 #[derive(Clone, Debug, Default)]
@@ -47,8 +49,9 @@
     stream: TcpStream,
     max_bytes: usize,
     unproductive: UnproductiveBytes,
-    /// Whether the user of the stream has more to write, or a write failed. The error of
-    /// a reset is reported only once: after a write reported it, reads see a clean end.
+    unsent: UnsentBody,
+    /// Whether the user of the stream has more to write of what it has buffered, or a
+    /// write failed. The error of a reset is reported only once: after a write reported it, reads see a clean end.
     is_write_pending: bool,
 }
 
@@ -57,11 +60,13 @@
         stream: TcpStream,
         max_bytes: usize,
         unproductive: UnproductiveBytes,
+        unsent: UnsentBody,
     ) -> Self {
         Self {
             stream,
             max_bytes,
             unproductive,
+            unsent,
             is_write_pending: false,
         }
     }
@@ -74,7 +79,8 @@
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         let read_bytes = ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        if read_bytes == 0 && !buf.is_empty() && self.is_write_pending {
+        let is_sending = self.is_write_pending || self.unsent.is_some();
+        if read_bytes == 0 && !buf.is_empty() && is_sending {
             return Poll::Ready(Err(io::Error::new(
                 io::ErrorKind::ConnectionAborted,
                 "the instance ended the connection before it had received the request",
@@ -103,7 +109,7 @@
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
-    /// Called once everything was written.
+    /// Called once all that is buffered was written.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
         self.is_write_pending = false;
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -10,6 +10,7 @@
 mod connection;
 mod instance_stream;
 mod pool;
+mod request_body;
 
 pub(crate) use connection::{Connection, ExchangeError, NotSent, Response};
 pub(crate) use pool::{ConnectError, Lease, Pool};
--- a/crates/limpetgw/tests/clients_suite/clients.rs
+++ b/crates/limpetgw/tests/clients_suite/clients.rs
@@ -309,3 +309,23 @@
     }
     Ok(())
 }
+
+/// Starts a client that sends `count` bodies of the largest legal size to the gateway, one
+/// after the other. Returns the number of those that were answered with success.
+pub fn upload_in_turn(process: &UnderTest, count: usize) -> JoinHandle<usize> {
+    let addr = process.addr();
+    let request = wire_standins::caller::post("/look/1", "upload", &"x".repeat(BODY_MAX_BYTES))
+        .with_deadline_ms(10_000);
+    thread::spawn(move || {
+        let answered = (0..count).map(|_| {
+            let mut stream = TcpStream::connect(addr)?;
+            stream.set_read_timeout(Some(Duration::from_secs(10)))?;
+            stream.write_all(request.to_http("close").as_bytes())?;
+            Ok(wire_standins::caller::read_response(&mut stream).status)
+        });
+        // One that is refused before its end may have its connection reset.
+        answered
+            .filter(|status: &io::Result<u16>| matches!(status, Ok(200)))
+            .count()
+    })
+}
--- a/crates/limpetgw/tests/clients_suite/main.rs
+++ b/crates/limpetgw/tests/clients_suite/main.rs
@@ -21,6 +21,10 @@
 /// Time for which the clients stay after the last one has sent all it can.
 const STAY: Duration = Duration::from_millis(700);
 
+/// Clients that send bodies of the largest legal size, and how many each sends.
+const UPLOADING_CLIENTS: usize = 48;
+const UPLOADS: usize = 6;
+
 /// One pattern at a time, as each one loads the machine and measures a process.
 static SEQUENCE: Mutex<()> = Mutex::new(());
 
@@ -80,3 +84,33 @@
 fn connections_leave_descriptors(#[values(Role::Gateway, Role::Entry)] role: Role) {
     run(role, Pattern::Silent, Limits::few_descriptors());
 }
+
+/// Guards against a failure: each connection to an instance that ever carried a large body
+/// kept a copy of it, so that legal requests, answered in order, took the process beyond
+/// the memory of its machine.
+#[test]
+fn served_uploads_stay_within_the_memory() {
+    let _turn = SEQUENCE.lock().unwrap_or_else(PoisonError::into_inner);
+    let limits = Limits::smallest_machine();
+    let mut process = UnderTest::start(Role::Gateway, limits);
+
+    let clients: Vec<_> = (0..UPLOADING_CLIENTS)
+        .map(|_| clients::upload_in_turn(&process, UPLOADS))
+        .collect();
+    let served: usize = clients
+        .into_iter()
+        .map(|client| client.join().expect("the client ran"))
+        .sum();
+
+    assert!(process.is_running(), "the process has ended");
+    let peak_bytes = process.peak_bytes();
+    println!("peak {} MiB, {served} served", peak_bytes >> 20);
+    assert!(served > UPLOADING_CLIENTS, "{served} uploads served");
+    assert!(
+        peak_bytes <= limits.memory_bytes(),
+        "{} MiB of {}",
+        peak_bytes >> 20,
+        limits.memory_mb
+    );
+    process.assert_serves();
+}
