Connections: end after a head with very many fields

Cause: the HTTP library keeps the map of the fields with its capacity for the next request of a connection, and an idle connection counts as 16 KiB. Ruled out by the gauges of the components: answers that are kept.

Change: a connection on which a head had more than 128 fields, which is about what the 16 KiB hold, ends with its response.

--- a/crates/limpetgw/tests/clients_suite/clients.rs
+++ b/crates/limpetgw/tests/clients_suite/clients.rs
@@ -329,3 +329,23 @@
             .count()
     })
 }
+
+/// Sends a request with as many short fields as a head may have, reads the response, and
+/// returns the connection, which stays idle. `None` if there was no response.
+pub fn idle_after_many_fields(process: &UnderTest) -> Option<TcpStream> {
+    let fields: String = (0..1_600).map(|name| format!("{name:x}: y\r\n")).collect();
+    let head = match process.role() {
+        Role::Gateway => format!(
+            "GET /look/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Limpetgw-Request-Id: r\r\n\
+             X-Limpetgw-Key: {KEY}\r\n{fields}\r\n"
+        ),
+        Role::Entry => format!("GET /v1/models HTTP/1.1\r\nHost: a\r\n{fields}\r\n"),
+    };
+    let mut stream = TcpStream::connect(process.addr()).ok()?;
+    stream
+        .set_read_timeout(Some(Duration::from_secs(10)))
+        .ok()?;
+    stream.write_all(head.as_bytes()).ok()?;
+    let mut response = [0; 1 << 10];
+    (stream.read(&mut response).ok()? > 0).then_some(stream)
+}
--- a/crates/limpetgw/tests/clients_suite/main.rs
+++ b/crates/limpetgw/tests/clients_suite/main.rs
@@ -25,6 +25,9 @@
 const UPLOADING_CLIENTS: usize = 48;
 const UPLOADS: usize = 6;
 
+/// Clients that stay idle after their response.
+const IDLE_CLIENTS: usize = 800;
+
 /// One pattern at a time, as each one loads the machine and measures a process.
 static SEQUENCE: Mutex<()> = Mutex::new(());
 
@@ -114,3 +117,34 @@
     );
     process.assert_serves();
 }
+
+/// Guards against a failure: an idle connection kept what the HTTP library had allocated
+/// for a head of 1,700 fields, and counted as an empty one.
+#[rstest]
+fn idle_connections_do_not_keep_the_memory_of_long_heads(
+    #[values(Role::Gateway, Role::Entry)] role: Role,
+) {
+    let _turn = SEQUENCE.lock().unwrap_or_else(PoisonError::into_inner);
+    let limits = Limits {
+        descriptors_max: 4_100,
+        descriptors_bound: 4_100,
+        ..Limits::smallest_machine()
+    };
+    let mut process = UnderTest::start(role, limits);
+
+    let idle: Vec<_> = (0..IDLE_CLIENTS)
+        .filter_map(|_| clients::idle_after_many_fields(&process))
+        .collect();
+
+    assert!(process.is_running(), "the process has ended");
+    let peak_bytes = process.peak_bytes();
+    println!("peak {} MiB, {} idle", peak_bytes >> 20, idle.len());
+    assert_eq!(idle.len(), IDLE_CLIENTS, "each request is answered");
+    assert!(
+        peak_bytes <= limits.memory_bytes(),
+        "{} MiB of {}",
+        peak_bytes >> 20,
+        limits.memory_mb
+    );
+    process.assert_serves();
+}
--- a/crates/net/src/connection_guard.rs
+++ b/crates/net/src/connection_guard.rs
@@ -57,6 +57,11 @@
 const FIELDS_FREE: usize = 32;
 const FIELD_ROOM_BYTES: usize = 800;
 
+/// Fields of a head after which a connection ends with the response. The HTTP library
+/// keeps the map of the fields, some 120 bytes each, for as long as the connection is
+/// open, and an idle connection counts as 16 KiB.
+const FIELDS_KEPT_MAX: usize = 128;
+
 /// Bytes of a body, or of a response, that need no room in the budget of all clients,
 /// as the buffers of a connection hold them.
 const BODY_FREE_BYTES: u64 = 16 << 10;
@@ -190,6 +195,7 @@
             write_stall_timer: None,
             responses: 0,
             head_has_room: false,
+            has_many_fields: false,
             body_room_bytes: 0,
             body_read_bytes: 0,
             body_read_at: None,
@@ -262,6 +268,8 @@
     responses: u32,
     /// Whether room is held for a long head.
     head_has_room: bool,
+    /// Whether a head had more than [`FIELDS_KEPT_MAX`] fields.
+    has_many_fields: bool,
     /// Room that is held for the body of the request, in bytes of the body.
     body_room_bytes: u64,
     /// Bytes of the body and its framing that were passed on.
@@ -414,6 +422,7 @@
             }
             return Ok(());
         }
+        self.has_many_fields |= self.framer.fields() > FIELDS_KEPT_MAX;
         match self.framer.fields().saturating_sub(FIELDS_FREE) {
             0 => Ok(()),
             fields => self.hold(Component::Heads, fields * FIELD_ROOM_BYTES),
@@ -423,6 +432,12 @@
     /// Advances the phase at a read that follows a response.
     fn on_read_after_response(&mut self) {
         match &self.phase {
+            // Its memory is free once it is closed.
+            Phase::Responding | Phase::Discarding { .. }
+                if self.framer.is_complete() && self.has_many_fields =>
+            {
+                self.phase = Phase::Closing;
+            }
             Phase::Responding | Phase::Discarding { .. } if self.framer.is_complete() => {
                 self.framer = RequestFramer::new();
                 self.phase = Phase::awaiting_request();
