Connections: bound the trailer section of a chunked request

Cause: the guard bounds heads, size lines and bodies, but not the trailer section, which the HTTP library keeps until it ends and reads again whole at each read. 300 clients took 262 MiB of a gateway of 120 MB and all of its processor.

Change: more than 4 KiB of trailers are a framing error. No trailer is used.

Before: `trailer_section_is_bounded` 1 of 2 red; 140 clients of `clients_suite` within the bound, 61 and 86 MiB in 31 s. After: green; 24 MiB in 5 s.

--- a/crates/limpetgw/tests/clients_suite/clients.rs
+++ b/crates/limpetgw/tests/clients_suite/clients.rs
@@ -24,6 +24,8 @@
 const PIECE_BYTES: usize = 4 << 10;
 /// Bytes of pipelined requests that a client sends if nothing stops it.
 const PIPELINED_BYTES: usize = 8 << 20;
+/// Bytes of trailers that a client sends if nothing stops it.
+const TRAILER_BYTES: usize = 1 << 20;
 /// Largest head inside the limits.
 const HEAD_MAX_BYTES: usize = 16 << 10;
 
@@ -38,6 +40,8 @@
     BodyInChunks,
     /// Sends a body of four times the legal size, half of the clients in chunks.
     BodyTooLong,
+    /// Sends a short body in chunks and a trailer section that does not end.
+    EndlessTrailers,
     /// Sends a head of legal size with as many fields as fit, and no body.
     ManyShortFields,
     /// Sends requests and reads no response.
@@ -70,7 +74,7 @@
             | Self::SendsSlowly
             | Self::ReadsSlowly
             | Self::StopsHalfWay => 80,
-            Self::ManyShortFields | Self::PipelinedUnread => 140,
+            Self::EndlessTrailers | Self::ManyShortFields | Self::PipelinedUnread => 140,
             Self::Silent => 150,
         }
     }
@@ -200,6 +204,12 @@
                 stream.write_all(self.head(number, &length).as_bytes())?;
                 (0..4).try_for_each(|_| stream.write_all(&body))
             }
+            Pattern::EndlessTrailers => {
+                stream.write_all(self.head(number, chunked).as_bytes())?;
+                stream.write_all(b"1\r\nx\r\n0\r\n")?;
+                let line = format!("trailer: {}\r\n", "y".repeat(PIECE_BYTES));
+                (0..TRAILER_BYTES / line.len()).try_for_each(|_| stream.write_all(line.as_bytes()))
+            }
             Pattern::ManyShortFields => {
                 let head = self.head(number, &length);
                 let room = HEAD_MAX_BYTES - head.len();
--- a/crates/limpetgw/tests/clients_suite/main.rs
+++ b/crates/limpetgw/tests/clients_suite/main.rs
@@ -70,6 +70,7 @@
         Pattern::BodyInSmallPieces,
         Pattern::BodyInChunks,
         Pattern::BodyTooLong,
+        Pattern::EndlessTrailers,
         Pattern::ManyShortFields,
         Pattern::PipelinedUnread,
         Pattern::SendsSlowly,
--- a/crates/net/src/request_framing.rs
+++ b/crates/net/src/request_framing.rs
@@ -19,6 +19,10 @@
 /// Maximum length of a line with a chunk size, in bytes.
 const CHUNK_LINE_MAX_BYTES: usize = 256;
 
+/// Maximum size of the trailer section of a chunked body, in bytes. The HTTP library keeps
+/// the section until it ends and reads it again at each step, and no trailer is used.
+const TRAILERS_MAX_BYTES: usize = 4 << 10;
+
 /// Maximum number of digits of a chunk size; more could overflow 64 bits.
 const CHUNK_SIZE_DIGITS_MAX: u8 = 15;
 
@@ -46,6 +50,8 @@
     body_begun: bool,
     /// Fields of the head, once it is complete.
     fields: usize,
+    /// Bytes of the trailer section.
+    trailer_bytes: usize,
 }
 
 #[derive(Debug)]
@@ -114,6 +120,7 @@
             expects_continue: false,
             body_begun: false,
             fields: 0,
+            trailer_bytes: 0,
         }
     }
 
@@ -262,6 +269,12 @@
                 continue;
             }
             at += 1;
+            if chunk.is_in_trailers() {
+                self.trailer_bytes += 1;
+                if self.trailer_bytes > TRAILERS_MAX_BYTES {
+                    return Err(FramingError::Malformed("the trailer section is too long"));
+                }
+            }
             self.state = match chunk.after(*byte)? {
                 Some(chunk) => State::Chunked(chunk),
                 None => State::Complete,
@@ -272,6 +285,13 @@
 }
 
 impl Chunk {
+    fn is_in_trailers(self) -> bool {
+        matches!(
+            self,
+            Self::TrailerStart | Self::TrailerLine { .. } | Self::LastLineEnd
+        )
+    }
+
     /// Returns the position after a byte that is not chunk data; `None` at the end
     /// of the body.
     fn after(self, byte: u8) -> Result<Option<Self>, FramingError> {
--- a/crates/net/tests/connection_guard.rs
+++ b/crates/net/tests/connection_guard.rs
@@ -269,6 +269,25 @@
     assert_eq!(unsolicited_bytes(&mut stream), b"");
 }
 
+/// Guards against a failure: the HTTP library keeps a trailer section until it ends, so
+/// that 300 clients took 262 MiB.
+#[rstest]
+#[case::longest(4_000, 200)]
+#[case::too_long(5_000, 400)]
+fn trailer_section_is_bounded(#[case] trailer_bytes: usize, #[case] status: u16) {
+    let mut stream = connect(start_server());
+    let mut bytes = head("/echo", "Transfer-Encoding: chunked");
+    bytes.extend_from_slice(b"1\r\nx\r\n0\r\nTrailer: ");
+    bytes.extend(vec![b'y'; trailer_bytes]);
+    bytes.extend_from_slice(b"\r\n\r\n");
+
+    send(&mut stream, &bytes);
+
+    // A body that is cut may end the connection without a response.
+    let answered = read_response(&mut stream).map_or(400, |(status, _)| status);
+    assert_eq!(answered, status);
+}
+
 #[rstest]
 #[case::head(b"POST /echo HTTP/1.1\r\nHost: a\r\n".to_vec(), 408)]
 #[case::large_head([b"POST /echo HTTP/1.1\r\nHost: a\r\nX: ".to_vec(), vec![b'x'; 50_000]].concat(), 431)]
