--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -243,7 +243,7 @@
     ];
     let gateway = rng.random_range(0..size.gateways);
     let instance = rng.random_range(0..size.instances());
-    match rng.random_range(0..17) {
+    match rng.random_range(0..18) {
         0 | 1 => Fault::StopGateway(gateway),
         2 => Fault::KillGateway(gateway),
         3 => Fault::PauseGateway(gateway),
@@ -261,15 +261,15 @@
         10 => Fault::Link(Link::Callers(gateway), random_link_fault(rng)),
         11 => Fault::Link(Link::Store(gateway), random_link_fault(rng)),
         12 => Fault::Link(Link::Instance(instance), random_link_fault(rng)),
-        13 => match rng.random_range(0..6) {
+        13 => match rng.random_range(0..4) {
             0 => Fault::CompactStore,
             1 => Fault::Store("silent"),
             2 => Fault::Store("garbled"),
-            3 => Fault::Store("busy"),
-            _ => Fault::RestoreStore,
+            _ => Fault::Store("busy"),
         },
         14 => Fault::Configure,
         15 => Fault::ConfigureOften,
+        16 => Fault::RestoreStore,
         _ => Fault::ToggleKey,
     }
 }
