--- a/crates/limpetgw/tests/clients_suite/main.rs
+++ b/crates/limpetgw/tests/clients_suite/main.rs
@@ -60,6 +60,20 @@
     }
 }
 
+/// Checks that the process lives, has never held more than its memory, and serves.
+fn assert_within_memory(process: &mut UnderTest, limits: Limits) {
+    assert!(process.is_running(), "the process has ended");
+    let peak_bytes = process.peak_bytes();
+    println!("peak {} MiB", peak_bytes >> 20);
+    assert!(
+        peak_bytes <= limits.memory_bytes(),
+        "{} MiB of {}",
+        peak_bytes >> 20,
+        limits.memory_mb
+    );
+    process.assert_serves();
+}
+
 /// Guards against memory, descriptors or the process itself running out while
 /// clients misbehave.
 #[rstest]
@@ -106,17 +120,8 @@
         .map(|client| client.join().expect("the client ran"))
         .sum();
 
-    assert!(process.is_running(), "the process has ended");
-    let peak_bytes = process.peak_bytes();
-    println!("peak {} MiB, {served} served", peak_bytes >> 20);
     assert!(served > UPLOADING_CLIENTS, "{served} uploads served");
-    assert!(
-        peak_bytes <= limits.memory_bytes(),
-        "{} MiB of {}",
-        peak_bytes >> 20,
-        limits.memory_mb
-    );
-    process.assert_serves();
+    assert_within_memory(&mut process, limits);
 }
 
 /// Guards against a failure: an idle connection kept what the HTTP library had allocated
@@ -137,15 +142,6 @@
         .filter_map(|_| clients::idle_after_many_fields(&process))
         .collect();
 
-    assert!(process.is_running(), "the process has ended");
-    let peak_bytes = process.peak_bytes();
-    println!("peak {} MiB, {} idle", peak_bytes >> 20, idle.len());
     assert_eq!(idle.len(), IDLE_CLIENTS, "each request is answered");
-    assert!(
-        peak_bytes <= limits.memory_bytes(),
-        "{} MiB of {}",
-        peak_bytes >> 20,
-        limits.memory_mb
-    );
-    process.assert_serves();
+    assert_within_memory(&mut process, limits);
 }
