--- a/crates/gateway/src/upstream/instance_stream.rs
+++ b/crates/gateway/src/upstream/instance_stream.rs
@@ -51,7 +51,8 @@
     unproductive: UnproductiveBytes,
     unsent: UnsentBody,
     /// Whether the user of the stream has more to write of what it has buffered, or a
-    /// write failed. The error of a reset is reported only once: after a write reported it, reads see a clean end.
+    /// write failed. The error of a reset is reported only once: after a write reported
+    /// it, reads see a clean end.
     is_write_pending: bool,
 }
 
