Lease: two tickets at once no longer cost two leases of waiting

Cause: gateways whose turns have passed during the outage create tickets together. The owner of the newer one waited for a whole lease after the older one was released, because the release counted as a change of the tickets; then once more as a returning holder, because the older ticket named it as a former one.

Change: each ticket is quiet since its own last change; a listed release ends its part of the wait. Former holders are owners of older tickets that may have been held. The stagger counts from the first read that succeeds after failed ones. A process that waits with a ticket reads every 250 ms.

--- a/crates/coord/src/ticket_lease/machine.rs
+++ b/crates/coord/src/ticket_lease/machine.rs
@@ -10,6 +10,10 @@
 /// milliseconds.
 const READ_INTERVAL_MS: u64 = 700;
 
+/// Interval at which a process that waits with a ticket reads the others, in milliseconds.
+/// The owner of an older ticket releases it within a few calls.
+const WAITING_READ_INTERVAL_MS: u64 = 250;
+
 /// Time after which a process gives up a ticket that it may have created but that
 /// no list shows, in milliseconds. Above the time by which a store may apply a
 /// write late; the ticket of a later write would be that of a dead process.
@@ -103,6 +107,15 @@
     obsolete: Vec<String>,
 }
 
+/// Ticket of another process that is not released.
+#[derive(Clone, Copy, Debug)]
+struct Observed {
+    /// Revision of its last write.
+    revision: u64,
+    /// Time just after the read that first showed that revision.
+    since: TimeMs,
+}
+
 /// State machine of one process for one lease.
 ///
 /// # Invariants
@@ -119,12 +132,12 @@
     is_fencing_checked: bool,
     writes: u64,
     tickets: u64,
-    /// Revision of each other ticket that is not released, as read last.
-    observed: IndexMap<String, u64>,
-    /// Time just after the read that first showed the present state of the other
-    /// tickets; `None` before the first read.
-    quiet_since: Option<TimeMs>,
-    /// Whether the newest other ticket is released.
+    /// Each other ticket that is not released, as read last.
+    observed: IndexMap<String, Observed>,
+    /// Time before which processes may have had permits whose tickets are not in
+    /// `observed`; `None` before the first read.
+    unobserved_until: Option<TimeMs>,
+    /// Whether the newest other ticket that may have been held is released.
     is_released: bool,
     former_holders: Vec<FormerHolder>,
     reported_through: Option<u64>,
@@ -140,6 +153,10 @@
     contend_from: TimeMs,
     /// Time by which this process contends later than the first in rank.
     stagger_ms: u64,
+    /// Whether the last read failed.
+    is_cut_off: bool,
+    /// Time at which the tickets could be read again after that.
+    regained_at: Option<TimeMs>,
     read_interval_ms: u64,
     /// Era of the store's history, 0 before it is known and for a store without eras.
     era: u32,
@@ -165,7 +182,7 @@
             writes: 0,
             tickets: 0,
             observed: IndexMap::new(),
-            quiet_since: None,
+            unobserved_until: None,
             is_released: false,
             former_holders: Vec::new(),
             reported_through: None,
@@ -176,6 +193,8 @@
             may_contend: true,
             contend_from: TimeMs(0),
             stagger_ms: 0,
+            is_cut_off: false,
+            regained_at: None,
             read_interval_ms: READ_INTERVAL_MS,
             era: 0,
             restored_at: None,
@@ -212,12 +231,12 @@
 
     /// Returns whether a list or check was ever handled.
     fn has_read(&self) -> bool {
-        self.quiet_since.is_some() || self.has_listed
+        self.unobserved_until.is_some() || self.has_listed
     }
 
     fn on_restored(&mut self, now: TimeMs) {
         self.restored_at = Some(now);
-        self.quiet_since = Some(now);
+        self.unobserved_until = Some(now);
         self.read_at = now;
     }
 
@@ -288,14 +307,16 @@
     /// time at which it was heard.
     pub fn on_announced(&mut self, now: TimeMs, name: &str, revision: u64) {
         let is_news = match self.observed.get(name) {
-            Some(known) => *known < revision,
+            Some(known) => known.revision < revision,
             // Missing in a list that is at least as new: given up or deleted since.
             None => revision > self.listed_revision,
         };
         if is_news && self.has_listed {
-            self.observed.insert(name.to_owned(), revision);
             // The announcement may be older than the last change that was read.
-            self.quiet_since = self.quiet_since.max(Some(now));
+            let known_since = self.observed.get(name).map(|known| known.since);
+            let since = known_since.map_or(now, |known| known.max(now));
+            let observed = Observed { revision, since };
+            self.observed.insert(name.to_owned(), observed);
         }
     }
 
@@ -352,7 +373,11 @@
             }
         }
         if now < owner.renew_at && !owner.is_leaving {
-            return Step::WaitUntil(owner.renew_at);
+            return match owner.is_holder {
+                true => Step::WaitUntil(owner.renew_at),
+                false if now < self.read_at => Step::WaitUntil(self.read_at.min(owner.renew_at)),
+                false => Step::List,
+            };
         }
         Step::Replace {
             name: owner.name.clone(),
@@ -436,6 +461,7 @@
 
     /// Records that a list or check failed.
     pub fn on_read_failed(&mut self, now: TimeMs) {
+        self.is_cut_off = true;
         self.read_at = now + RETRY_INTERVAL_MS;
         self.give_up_if_stale(now);
     }
@@ -443,14 +469,17 @@
     /// Handles changes of tickets, which may be stale: they can only show that a
     /// ticket was alive, never that one expired.
     pub fn on_activity(&mut self, now: TimeMs, changed: &[ListedTicket]) {
-        self.read_at = now + self.read_interval_ms;
+        self.on_read(now);
         for listed in changed {
             self.learn(listed);
             let known = self.observed.get(&listed.name);
-            let is_news = known.is_none_or(|revision| *revision < listed.revision);
+            let is_news = known.is_none_or(|known| known.revision < listed.revision);
             if !listed.ticket.released && is_news {
-                self.observed.insert(listed.name.clone(), listed.revision);
-                self.quiet_since = Some(now);
+                let observed = Observed {
+                    revision: listed.revision,
+                    since: now,
+                };
+                self.observed.insert(listed.name.clone(), observed);
             } else if listed.ticket.released && known.is_some() {
                 // Whether the lease is vacant shows in a list.
                 self.has_listed = false;
@@ -462,7 +491,7 @@
     /// Handles the complete list of tickets, which must not be stale.
     pub fn on_listed(&mut self, now: TimeMs, tickets: &[ListedTicket]) {
         self.has_listed = true;
-        self.read_at = now + self.read_interval_ms;
+        self.on_read(now);
         let own_name = match &self.state {
             State::Follower => None,
             State::Creating { name, .. } => Some(name.clone()),
@@ -476,7 +505,7 @@
             self.on_restored(now);
             self.read_at = now + self.read_interval_ms;
         }
-        self.observe(now, &others);
+        self.observe(now, own, &others);
         match (&self.state, own) {
             (State::Follower, _) => self.contend_if_vacant(now),
             // The creation did not take effect, or not yet. Another name would leave
@@ -546,15 +575,41 @@
     }
 
     /// Returns whether all other tickets have not changed for long enough that no
-    /// owner can have a permit, or the newest one is released.
+    /// owner can have a permit, or the newest one that may have been held is released,
+    /// and those before this process in rank have had the time to contend.
     fn is_vacant(&self, now: TimeMs) -> bool {
         let lease_ms = match self.is_released && !self.may_hide_holder(now) {
             true => 0,
             false => self.expiry_ms(),
         };
         let expiry_ms = lease_ms + self.stagger_ms;
-        self.quiet_since
+        let has_waited = |since: TimeMs| now.since(since) >= self.stagger_ms;
+        self.quiet_since()
             .is_some_and(|since| now.since(since) >= expiry_ms)
+            && self.regained_at.is_none_or(has_waited)
+    }
+
+    /// Returns the time just after the read that first showed the present state of the
+    /// other tickets; `None` before the first read.
+    fn quiet_since(&self) -> Option<TimeMs> {
+        let changed = self.observed.values().map(|observed| observed.since);
+        Some(changed.fold(self.unobserved_until?, TimeMs::max))
+    }
+
+    /// Schedules the next read after a successful one.
+    fn on_read(&mut self, now: TimeMs) {
+        let waits_with_ticket = matches!(&self.state, State::Owner(owner) if !owner.is_holder);
+        self.read_at = now
+            + match waits_with_ticket {
+                true => self.read_interval_ms.min(WAITING_READ_INTERVAL_MS),
+                false => self.read_interval_ms,
+            };
+        if std::mem::take(&mut self.is_cut_off) {
+            self.regained_at = Some(now);
+            self.read_at = self
+                .read_at
+                .min(now + self.stagger_ms.max(RETRY_INTERVAL_MS));
+        }
     }
 
     /// Time without a change of the tickets after which no owner can have a permit, in
@@ -573,45 +628,55 @@
         self.reported_through = self.reported_through.max(listed.ticket.reported_through);
     }
 
-    fn observe(&mut self, now: TimeMs, others: &[&ListedTicket]) {
+    fn observe(&mut self, now: TimeMs, own: Option<&ListedTicket>, others: &[&ListedTicket]) {
         let mut seen = IndexMap::new();
         for listed in others {
             self.learn(listed);
             self.listed_revision = self.listed_revision.max(listed.revision);
             if !listed.ticket.released {
-                seen.insert(listed.name.clone(), listed.revision);
+                let revision = listed.revision;
+                let known = self.observed.get(&listed.name);
+                let known = known.filter(|known| known.revision == revision);
+                let since = known.map_or(now, |known| known.since);
+                seen.insert(listed.name.clone(), Observed { revision, since });
             }
         }
-        let newest = others.iter().max_by_key(|listed| listed.order());
         // One that was released without having been held says nothing about those
         // before it.
-        self.is_released =
-            newest.is_some_and(|listed| listed.ticket.released && listed.ticket.held);
+        let may_have_held = |listed: &&&ListedTicket| {
+            let ticket = &listed.ticket;
+            ticket.held || !ticket.released
+        };
+        let newest = others
+            .iter()
+            .filter(may_have_held)
+            .max_by_key(|listed| listed.order());
+        self.is_released = newest.is_some_and(|listed| listed.ticket.released);
         // The owner of a ticket that was held has waited for all older ones, and
         // deletes them. Another one that vanished unreleased may have a valid holder.
         let held = others.iter().filter(|listed| listed.ticket.held);
         let settled_by = held.map(|listed| listed.order()).max();
-        let is_settled = |name: &str, revision: u64| {
-            let is_listed = others.iter().any(|listed| listed.name == name);
-            !is_listed && settled_by.is_some_and(|held| revision < held)
+        let is_listed = |name: &str| others.iter().any(|listed| listed.name == name);
+        let has_vanished = |(name, known): (&String, &Observed)| {
+            !is_listed(name) && settled_by.is_none_or(|held| known.revision >= held)
         };
-        let has_new = seen
-            .iter()
-            .any(|(name, revision)| self.observed.get(name) != Some(revision));
-        let has_lost = self
-            .observed
-            .iter()
-            .any(|(name, revision)| !seen.contains_key(name) && !is_settled(name, *revision));
-        if has_new || has_lost || self.quiet_since.is_none() {
-            self.quiet_since = Some(now);
+        if self.observed.iter().any(has_vanished) || self.unobserved_until.is_none() {
+            self.unobserved_until = Some(now);
         }
         self.observed = seen;
-        if let Some(newest) = newest {
+        // The owner of a newer ticket is no former holder.
+        let own_order = own.map_or(u64::MAX, ListedTicket::order);
+        let former = others
+            .iter()
+            .filter(may_have_held)
+            .filter(|listed| listed.order() < own_order)
+            .max_by_key(|listed| listed.order());
+        if let Some(former) = former {
             let mut holders = vec![FormerHolder {
-                holder: newest.ticket.holder.clone(),
-                nonce: newest.ticket.nonce.clone(),
+                holder: former.ticket.holder.clone(),
+                nonce: former.ticket.nonce.clone(),
             }];
-            holders.extend(newest.ticket.former_holders.iter().cloned());
+            holders.extend(former.ticket.former_holders.iter().cloned());
             holders.dedup();
             holders.truncate(FORMER_HOLDERS_MAX);
             self.former_holders = holders;
@@ -709,13 +774,13 @@
 
     fn is_vacant_without_stagger(&self, now: TimeMs) -> bool {
         let is_quiet = |since: TimeMs| now.since(since) >= self.expiry_ms();
-        !self.may_hide_holder(now) && (self.is_released || self.quiet_since.is_some_and(is_quiet))
+        !self.may_hide_holder(now) && (self.is_released || self.quiet_since().is_some_and(is_quiet))
     }
 
     fn become_follower(&mut self, now: TimeMs) {
         self.state = State::Follower;
         // The own ticket counts as that of another from now on.
-        self.quiet_since = Some(now);
+        self.unobserved_until = Some(now);
         self.is_released = false;
         self.has_listed = false;
         self.read_at = now + self.read_interval_ms;
--- a/crates/coord/tests/ticket_lease_model.rs
+++ b/crates/coord/tests/ticket_lease_model.rs
@@ -490,6 +490,64 @@
     assert!(simulation.processes[1].permit(simulation.now).is_some());
 }
 
+/// Returns two processes that could not read the tickets for longer than a lease, and
+/// then both find it vacant.
+fn contenders_after_an_outage() -> Simulation {
+    let mut simulation = Simulation::new(true);
+    for process in [0, 1] {
+        simulation.step(process, Fault::None);
+    }
+    for _ in 0..10 {
+        simulation.advance(500);
+        for process in [0, 1] {
+            simulation.step(process, Fault::Refused);
+        }
+    }
+    simulation.advance(500);
+    simulation
+}
+
+/// Guards against a whole lease of waiting, and another one as a holder that returns,
+/// after two processes have created a ticket at the same time. The older one may have got
+/// the lease before the newer one was created.
+#[rstest]
+fn lease_is_held_soon_after_two_tickets_were_created(
+    #[values(true, false)] older_gets_the_lease: bool,
+) {
+    let mut simulation = contenders_after_an_outage();
+    for process in [0, 1] {
+        simulation.step(process, Fault::None);
+    }
+    simulation.step(0, Fault::None);
+    if older_gets_the_lease {
+        simulation.step(0, Fault::None);
+        assert!(simulation.processes[0].held_token().is_some());
+    }
+    simulation.step(1, Fault::None);
+    assert_eq!(simulation.tickets.len(), 2);
+
+    simulation.run_undisturbed(&[0, 1], 1_000);
+
+    assert!(simulation.processes[1].permit(simulation.now).is_some());
+}
+
+/// Guards against tickets of all processes at the end of an outage that has lasted longer
+/// than the times by which they contend one after the other.
+#[test]
+fn processes_contend_one_after_the_other_after_an_outage() {
+    let mut simulation = contenders_after_an_outage();
+    simulation.processes[1].set_contention(true, 250, 700);
+    // Both read the tickets before either creates one.
+    for process in [0, 1] {
+        simulation.step(process, Fault::None);
+    }
+
+    simulation.run_undisturbed(&[0, 1], 2_000);
+
+    assert_eq!(simulation.tickets.len(), 1);
+    assert!(simulation.processes[0].permit(simulation.now).is_some());
+}
+
 /// Guards against a ticket that was given up unheld and hides a holder before it.
 #[test]
 fn ticket_released_without_being_held_does_not_make_the_lease_vacant() {
