Store: a response on its way at a restoration belongs to the era that it names

A list of the history before, on its way while another call noticed the later era, counted as one of the present history ("lower: invalid, current"). A watch from its position misses what is written again below it until the new history has caught up and nothing answers 410.

Change: the era of a response is compared with the one that was known when its call was made. One between that and the latest is the response's own; a lower one is still invalid. The consumers already list again when a later era is known than that of their position.

--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -128,12 +128,13 @@
 
     /// Sends a request and reads the complete response.
     async fn exchange(&self, conn: Conn, kind: CallKind) -> Result<StoreResponse, StoreError> {
+        let asked_in = self.era.current();
         let mut conn = conn.await.map_err(|error| transport_error(&error))?;
         let status = conn.status().map_or(0, |status| status as u16);
         let header = self
             .era_header
             .and_then(|name| conn.response_headers().get_str(name));
-        let era = self.era.on_response(header, kind);
+        let era = self.era.on_response(header, kind, asked_in);
         let body = conn.response_body().with_max_len(RESPONSE_MAX_BYTES);
         let bytes = body
             .read_bytes()
--- a/crates/store/src/era.rs
+++ b/crates/store/src/era.rs
@@ -82,10 +82,12 @@
         }
     }
 
-    /// Records the header of a response, `None` if it has none. Returns the era that
-    /// the response belongs to: an earlier one than the current only for a call that
-    /// allows stale data. An invalid value is logged once and counts as the current era.
-    pub(crate) fn on_response(&self, header: Option<&str>, call: CallKind) -> Era {
+    /// Records the header of the response to a call that was made when `asked_in` was the
+    /// latest known era; `None` if it has no such header. Returns the era that the response
+    /// belongs to: an earlier one than the current if the store was restored while it was
+    /// on its way, or for a call that allows stale data. An invalid value is logged once
+    /// and counts as the current era.
+    pub(crate) fn on_response(&self, header: Option<&str>, call: CallKind, asked_in: Era) -> Era {
         let current = self.current();
         let Some(header) = header else {
             return current;
@@ -96,7 +98,7 @@
         };
         match header.trim().parse::<u32>().map(Era) {
             Ok(named) if named == current => current,
-            Ok(named) if named < current && call == CallKind::Check => named,
+            Ok(named) if named < current && (named >= asked_in || call == CallKind::Check) => named,
             Ok(named) if named > current && named.0 <= highest => self.rise(named, call),
             _ => {
                 if !self.has_warned.swap(true, Ordering::Relaxed) {
--- a/crates/store/tests/suite/era.rs
+++ b/crates/store/tests/suite/era.rs
@@ -1,7 +1,16 @@
 //! Positions in the history of a store that may be restored from an older copy.
 
+use std::{
+    io::{Read, Write},
+    net::{TcpListener, TcpStream},
+    thread,
+    time::Duration,
+};
+
+use futures_lite::future::zip;
 use proptest::prelude::*;
-use store::{Era, Position};
+use store::{CallKind, Era, Position, RateLimits, StoreClient};
+use trillium_http::Method;
 
 fn position(era: u32, revision: u64) -> Position {
     Position {
@@ -42,3 +51,57 @@
 fn sequence_is_the_revision_for_a_store_without_eras() {
     assert_eq!(position(0, 488).sequence(), 488);
 }
+
+/// Reads the head of a call.
+fn read_call(conn: &mut TcpStream) {
+    let mut bytes = [0; 4_096];
+    assert!(conn.read(&mut bytes).expect("a call") > 0);
+}
+
+/// Responds with an empty list of an era, and ends the connection.
+fn respond(mut conn: TcpStream, era: u32) {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nstore-era: {era}\r\ncontent-length: 2\r\nconnection: close\r\n\r\n"
+    );
+    conn.write_all(format!("{head}[]").as_bytes())
+        .expect("response is sent");
+}
+
+async fn list_era(client: &StoreClient) -> u32 {
+    let conn = client.request(Method::Get, "/objects/any");
+    let response = client.call(CallKind::List, conn, Duration::from_secs(5));
+    response.await.expect("a response").era.number()
+}
+
+/// Guards against a list of the history before that counts as one of the present
+/// history, because another call had noticed the restoration while it was on its way: a
+/// watch from its position misses what is written again below it. A call that is made
+/// afterwards can't get one, so that what it names is invalid.
+#[test]
+fn response_that_was_on_its_way_at_the_restoration_belongs_to_the_era_before() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind loopback port");
+    let addr = listener.local_addr().expect("local address").to_string();
+    let server = thread::spawn(move || {
+        let accept = || {
+            let (mut conn, _) = listener.accept().expect("accept");
+            read_call(&mut conn);
+            conn
+        };
+        respond(accept(), 1);
+        let (early, late) = (accept(), accept());
+        respond(late, 2);
+        thread::sleep(Duration::from_millis(200));
+        respond(early, 1);
+        respond(accept(), 1);
+    });
+    let client = StoreClient::new(&addr, RateLimits::default()).with_era_header("store-era");
+
+    let first = smol::block_on(list_era(&client));
+    let (one, other) = smol::block_on(zip(list_era(&client), list_era(&client)));
+    let last = smol::block_on(list_era(&client));
+
+    server.join().expect("server thread panicked");
+    let both = (one.min(other), one.max(other));
+    assert_eq!((first, both, last), (1, (1, 2), 2));
+    assert_eq!(client.era().number(), 2);
+}
