Soak: unreadable documents, statuses that end no request, early ends of uploads

It draws now: an operator who changes a key in a configuration with parts that can't be read or are beyond a type; an entry of another program that no text can hold; instances that respond with 101, with 000, or to an upload of 9 MiB with a part of a body before they have read it. Callers send such uploads. The check of the responses takes a status outside 200 to 599 for a violation; it knows none of these faults by name.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -162,6 +162,11 @@
 }
 
 fn check_response(results: &mut CheckResults, request: &RequestRecord) {
+    let has_head = request.status != 0 || request.answered_id.is_some();
+    if has_head && !(200..600).contains(&request.status) {
+        let detail = || format!("status {} ends no request", request.status);
+        results.record_check(Guarantee::OwnAndWhole, false, &request.id, detail);
+    }
     if request.status != 200 {
         return;
     }
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -9,7 +9,7 @@
 
 use harness::{HarnessError, Process, ProcessSpec, Programs};
 use indexmap::IndexMap;
-use serde_json::Value;
+use serde_json::{json, Value};
 use wire_standins::{
     caller::KEY,
     documents::{config, resumable, route, team, ORDERS, PLANS},
@@ -38,6 +38,11 @@
 const CONFIG_STORM_GAP: Duration = Duration::from_millis(120);
 /// Maximum number of attempts to write a configuration.
 const CONFIG_WRITE_ATTEMPTS: u32 = 100;
+/// Longest body of a request, in bytes.
+const BODY_MAX_BYTES: u64 = 16 << 20;
+/// Entry in the list of instances whose zone no text can hold.
+const UNREADABLE_ENTRY: &str = r#"{"metadata": {"name": "of-another-program"},
+    "spec": {"service": "orders", "addr": "127.0.0.1:9", "zone": "\ud83d", "state": "ready"}}"#;
 /// Pause after a failed attempt to write a configuration.
 const CONFIG_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -52,6 +57,7 @@
     version: u64,
     has_route: bool,
     has_key: bool,
+    has_unreadable_parts: bool,
     record: Arc<Mutex<Record>>,
     peak_memory_bytes: Vec<u64>,
     size: ClusterSize,
@@ -71,6 +77,7 @@
             version: 0,
             has_route: true,
             has_key: true,
+            has_unreadable_parts: false,
             record,
             peak_memory_bytes: vec![0; size.gateways],
             size,
@@ -185,10 +192,20 @@
                     std::thread::sleep(CONFIG_STORM_GAP);
                 }
             }
-            Fault::ToggleKey => {
+            Fault::ToggleKey | Fault::ToggleKeyBesideUnreadableParts => {
                 self.has_key = !self.has_key;
+                self.has_unreadable_parts = fault == Fault::ToggleKeyBesideUnreadableParts;
                 self.write_config()?;
             }
+            // The store may be down.
+            Fault::UnreadableEntry => {
+                let _ = call(
+                    self.store_addr,
+                    "POST",
+                    "/objects/servers",
+                    UNREADABLE_ENTRY,
+                );
+            }
         }
         Ok(())
     }
@@ -222,7 +239,9 @@
             | Fault::CompactStore
             | Fault::Configure
             | Fault::ConfigureOften
-            | Fault::ToggleKey => {}
+            | Fault::ToggleKey
+            | Fault::ToggleKeyBesideUnreadableParts
+            | Fault::UnreadableEntry => {}
         }
         let to_ms = unix_ms() + RECOVERY_MARGIN_MS;
         lock(&self.record).happened.push(InjectedFault {
@@ -314,7 +333,16 @@
         if self.has_key {
             teams.push(team(OTHER_TEAM, OTHER_KEY));
         }
-        config(self.version, &routes, &teams)
+        if self.has_unreadable_parts {
+            let mut ranked = route("/ranked/", "safe", ORDERS, 2);
+            ranked["priority"] = json!(300);
+            routes.push(ranked);
+            routes.push(json!({"prefix": "/unreadable/", "kind": {}}));
+            teams.push(json!({"name": 1}));
+        }
+        let mut document = config(self.version, &routes, &teams);
+        document["limits"]["max-body-bytes"] = json!(BODY_MAX_BYTES);
+        document
     }
 
     /// Sets the fault mode of an instance. Errors are ignored, because an
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -111,6 +111,12 @@
     /// The operator writes a configuration that removes an API key or adds it
     /// again.
     ToggleKey,
+    /// The operator writes such a configuration with parts that gateways can't read, or
+    /// have no type for.
+    ToggleKeyBesideUnreadableParts,
+    /// Another program writes an entry into the list of instances that gateways can't
+    /// read. It expires.
+    UnreadableEntry,
 }
 
 impl Fault {
@@ -135,6 +141,8 @@
             Self::Configure => "configuration",
             Self::ConfigureOften => "configuration storm",
             Self::ToggleKey => "key changed",
+            Self::ToggleKeyBesideUnreadableParts => "key changed, unreadable parts",
+            Self::UnreadableEntry => "unreadable entry",
         }
     }
 
@@ -150,7 +158,10 @@
     fn is_config_write(&self) -> bool {
         matches!(
             self,
-            Self::Configure | Self::ConfigureOften | Self::ToggleKey
+            Self::Configure
+                | Self::ConfigureOften
+                | Self::ToggleKey
+                | Self::ToggleKeyBesideUnreadableParts
         )
     }
 
@@ -166,7 +177,11 @@
             | Self::FaultyInstance(number, _) => FaultTarget::Instance(number),
             Self::Link(link, _) => FaultTarget::Link(link),
             Self::Store(_) | Self::CompactStore | Self::RestoreStore => FaultTarget::Store,
-            Self::Configure | Self::ConfigureOften | Self::ToggleKey => FaultTarget::Operator,
+            Self::Configure
+            | Self::ConfigureOften
+            | Self::ToggleKey
+            | Self::ToggleKeyBesideUnreadableParts => FaultTarget::Operator,
+            Self::UnreadableEntry => FaultTarget::OtherWriter,
         }
     }
 
@@ -181,6 +196,8 @@
                 | Self::Configure
                 | Self::ConfigureOften
                 | Self::ToggleKey
+                | Self::ToggleKeyBesideUnreadableParts
+                | Self::UnreadableEntry
         )
     }
 }
@@ -193,6 +210,7 @@
     Link(Link),
     Store,
     Operator,
+    OtherWriter,
 }
 
 /// A fault with its start and duration.
@@ -240,10 +258,13 @@
         "hangs",
         "endless-head",
         "endless-body",
+        "switches-protocols",
+        "has-no-status",
+        "ends-early",
     ];
     let gateway = rng.random_range(0..size.gateways);
     let instance = rng.random_range(0..size.instances());
-    match rng.random_range(0..18) {
+    match rng.random_range(0..20) {
         0 | 1 => Fault::StopGateway(gateway),
         2 => Fault::KillGateway(gateway),
         3 => Fault::PauseGateway(gateway),
@@ -270,6 +291,8 @@
         14 => Fault::Configure,
         15 => Fault::ConfigureOften,
         16 => Fault::RestoreStore,
+        17 => Fault::ToggleKeyBesideUnreadableParts,
+        18 => Fault::UnreadableEntry,
         _ => Fault::ToggleKey,
     }
 }
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -122,6 +122,8 @@
 #[case::truncated_but_marked_complete(|request: &mut RequestRecord| request.body.truncate(5))]
 #[case::unsigned(|request: &mut RequestRecord| request.signed = false)]
 #[case::wrong_response_id(|request: &mut RequestRecord| request.answered_id = Some("r2".into()))]
+#[case::switches_protocols(|request: &mut RequestRecord| request.status = 101)]
+#[case::has_no_status(|request: &mut RequestRecord| request.status = 0)]
 fn wrong_or_unsigned_response_is_a_violation(#[case] change: fn(&mut RequestRecord)) {
     let mut request = unsafe_request();
     change(&mut request);
