Soak: draw faulty instances and long uploads more often; a foreign entry stays

The entry has no lease now, as that of another program may, early ends are drawn for plain services, and one body in ten is long.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -184,12 +184,12 @@
         (kind, request.with_deadline_ms(DEADLINE_MS))
     }
 
-    /// Builds a body; one in four is longer than any request head, one in 40 than the
+    /// Builds a body; one in four is longer than any request head, one in ten than the
     /// buffers of all sockets on its way.
     fn generate_body(&mut self) -> String {
         match self.rng.random_range(0..40) {
-            0 => "huge ".repeat(HUGE_BODY_BYTES / 5),
-            1..=10 => LONG_BODY_LINE.repeat(LONG_BODY_LINES),
+            0..=3 => "huge ".repeat(HUGE_BODY_BYTES / 5),
+            4..=13 => LONG_BODY_LINE.repeat(LONG_BODY_LINES),
             _ => "one last".into(),
         }
     }
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -41,7 +41,7 @@
 /// Longest body of a request, in bytes.
 const BODY_MAX_BYTES: u64 = 16 << 20;
 /// Entry in the list of instances whose zone no text can hold.
-const UNREADABLE_ENTRY: &str = r#"{"metadata": {"name": "of-another-program"},
+const UNREADABLE_ENTRY: &str = r#"{"metadata": {"name": "of-another-program", "stays": true},
     "spec": {"service": "orders", "addr": "127.0.0.1:9", "zone": "\ud83d", "state": "ready"}}"#;
 /// Pause after a failed attempt to write a configuration.
 const CONFIG_RETRY_DELAY: Duration = Duration::from_millis(100);
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -115,7 +115,7 @@
     /// have no type for.
     ToggleKeyBesideUnreadableParts,
     /// Another program writes an entry into the list of instances that gateways can't
-    /// read. It expires.
+    /// read. It stays.
     UnreadableEntry,
 }
 
@@ -260,11 +260,10 @@
         "endless-body",
         "switches-protocols",
         "has-no-status",
-        "ends-early",
     ];
     let gateway = rng.random_range(0..size.gateways);
     let instance = rng.random_range(0..size.instances());
-    match rng.random_range(0..20) {
+    match rng.random_range(0..23) {
         0 | 1 => Fault::StopGateway(gateway),
         2 => Fault::KillGateway(gateway),
         3 => Fault::PauseGateway(gateway),
@@ -272,27 +271,32 @@
         5 | 6 => Fault::DrainInstance(instance),
         7 => Fault::KillInstance(instance),
         8 => Fault::PauseInstance(instance),
-        9 => Fault::FaultyInstance(
+        9..=11 => Fault::FaultyInstance(
             instance,
             INSTANCE_FAULT_MODES
                 .choose(rng)
                 .copied()
                 .unwrap_or("errors"),
         ),
-        10 => Fault::Link(Link::Callers(gateway), random_link_fault(rng)),
-        11 => Fault::Link(Link::Store(gateway), random_link_fault(rng)),
-        12 => Fault::Link(Link::Instance(instance), random_link_fault(rng)),
-        13 => match rng.random_range(0..4) {
+        // Only plain services get long uploads.
+        12 => Fault::FaultyInstance(
+            size.engines + rng.random_range(0..size.services),
+            "ends-early",
+        ),
+        13 => Fault::Link(Link::Callers(gateway), random_link_fault(rng)),
+        14 => Fault::Link(Link::Store(gateway), random_link_fault(rng)),
+        15 => Fault::Link(Link::Instance(instance), random_link_fault(rng)),
+        16 => match rng.random_range(0..4) {
             0 => Fault::CompactStore,
             1 => Fault::Store("silent"),
             2 => Fault::Store("garbled"),
             _ => Fault::Store("busy"),
         },
-        14 => Fault::Configure,
-        15 => Fault::ConfigureOften,
-        16 => Fault::RestoreStore,
-        17 => Fault::ToggleKeyBesideUnreadableParts,
-        18 => Fault::UnreadableEntry,
+        17 => Fault::Configure,
+        18 => Fault::ConfigureOften,
+        19 => Fault::RestoreStore,
+        20 => Fault::ToggleKeyBesideUnreadableParts,
+        21 => Fault::UnreadableEntry,
         _ => Fault::ToggleKey,
     }
 }
