--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -263,7 +263,7 @@
     ];
     let gateway = rng.random_range(0..size.gateways);
     let instance = rng.random_range(0..size.instances());
-    match rng.random_range(0..23) {
+    match rng.random_range(0..27) {
         0 | 1 => Fault::StopGateway(gateway),
         2 => Fault::KillGateway(gateway),
         3 => Fault::PauseGateway(gateway),
@@ -271,7 +271,7 @@
         5 | 6 => Fault::DrainInstance(instance),
         7 => Fault::KillInstance(instance),
         8 => Fault::PauseInstance(instance),
-        9..=11 => Fault::FaultyInstance(
+        9..=14 => Fault::FaultyInstance(
             instance,
             INSTANCE_FAULT_MODES
                 .choose(rng)
@@ -279,24 +279,24 @@
                 .unwrap_or("errors"),
         ),
         // Only plain services get long uploads.
-        12 => Fault::FaultyInstance(
+        15 => Fault::FaultyInstance(
             size.engines + rng.random_range(0..size.services),
             "ends-early",
         ),
-        13 => Fault::Link(Link::Callers(gateway), random_link_fault(rng)),
-        14 => Fault::Link(Link::Store(gateway), random_link_fault(rng)),
-        15 => Fault::Link(Link::Instance(instance), random_link_fault(rng)),
-        16 => match rng.random_range(0..4) {
+        16 => Fault::Link(Link::Callers(gateway), random_link_fault(rng)),
+        17 => Fault::Link(Link::Store(gateway), random_link_fault(rng)),
+        18 => Fault::Link(Link::Instance(instance), random_link_fault(rng)),
+        19 => match rng.random_range(0..4) {
             0 => Fault::CompactStore,
             1 => Fault::Store("silent"),
             2 => Fault::Store("garbled"),
             _ => Fault::Store("busy"),
         },
-        17 => Fault::Configure,
-        18 => Fault::ConfigureOften,
-        19 => Fault::RestoreStore,
-        20 => Fault::ToggleKeyBesideUnreadableParts,
-        21 => Fault::UnreadableEntry,
+        20 => Fault::Configure,
+        21 => Fault::ConfigureOften,
+        22 => Fault::RestoreStore,
+        23 => Fault::ToggleKeyBesideUnreadableParts,
+        24 => Fault::UnreadableEntry,
         _ => Fault::ToggleKey,
     }
 }
