Duties: an object that can't be read costs itself only

Cause: both lists failed as a whole on one object. Without the list of tickets nobody contends; without that of the windows a new holder does not begin, and with an old window it abandoned each one since 1970.

Change: a ticket without a readable value is one of an unknown owner: older than any other, alive while it changes, deleted by the next holder. A window without readable counts is abandoned alone, since they may have been sent. A holder begins with the windows of the last five minutes. Each such object is logged and counted.

Tests: 6 red before (reports_go_on_beside_an_object_that_is_not_of_a_gateway, 5; window_whose_fixed_counts_are_unreadable_is_left_out_alone). Module duties 49 of 49 and crate coord green, beside soaks (load average 30).

--- a/crates/coord/src/ticket_lease/mod.rs
+++ b/crates/coord/src/ticket_lease/mod.rs
@@ -69,6 +69,25 @@
     pub former_holders: Vec<FormerHolder>,
 }
 
+impl Ticket {
+    /// Returns what an object counts as whose value can't be read: a ticket that is older
+    /// than any other and not released. Its changes are waited for, as its owner may be a
+    /// gateway of a later version.
+    pub fn of_unknown_owner() -> Self {
+        Self {
+            holder: InstanceId::new("unknown"),
+            nonce: String::new(),
+            token: Some(0),
+            write: 0,
+            released: false,
+            held: false,
+            reported_through: None,
+            era: 0,
+            former_holders: Vec::new(),
+        }
+    }
+}
+
 #[expect(
     clippy::trivially_copy_pass_by_ref,
     reason = "signature that serde requires"
--- a/crates/gateway/src/duties/holder/mod.rs
+++ b/crates/gateway/src/duties/holder/mod.rs
@@ -22,7 +22,7 @@
 use super::{
     clock::boot_now,
     exchange::{announce_release, ranked, HOLDER_SILENT_MS},
-    DutyApi, DutyApiFactory, DutySettings, DutyStore,
+    DutyApi, DutyApiFactory, DutySettings, DutyStore, FixedWindow,
 };
 use crate::app::{lock, App};
 
@@ -133,6 +133,8 @@
     plan: ReportPlan,
     /// Counts that are known to be fixed in the store.
     fixed: IndexMap<Window, WindowCounts>,
+    /// Windows whose fixed counts can't be read. They may have been sent and are abandoned.
+    unreadable: Vec<Window>,
     /// Last window whose fixed counts the store may have lost. Up to it, windows that
     /// are not fixed may have been sent and are abandoned: other counts must not follow.
     lost_through: Option<Window>,
@@ -449,13 +451,18 @@
         metrics::gauge!("limpetgw_duties_held").set(1.0);
         metrics::gauge!("limpetgw_duties_token").set(token as f64);
         lock(&self.app.duties.view).own_token = Some(token);
+        let now_unix_ms = self.unix_ms(boot_now());
+        let is_kept = |window: Window| self.timing.end_ms(window) + FIXED_KEPT_MS >= now_unix_ms;
+        let (kept, expired): (Vec<FixedWindow>, Vec<FixedWindow>) =
+            fixed.into_iter().partition(|(window, _)| is_kept(*window));
         // A window that another holder has fixed may not be reported yet.
-        let oldest_fixed = fixed.iter().map(|(window, _)| *window).min();
+        let oldest_fixed = kept.iter().map(|(window, _)| *window).min();
         let first = first.min(oldest_fixed.unwrap_or(first));
         let mut held = Held {
             token,
             plan: ReportPlan::new(reported_through, first),
             fixed: IndexMap::new(),
+            unreadable: Vec::new(),
             lost_through,
             backoff: SendBackoff::default(),
             acquired_at: boot_now(),
@@ -463,11 +470,14 @@
             paused_since: None,
             doubtful: None,
         };
-        let now_unix_ms = self.unix_ms(boot_now());
-        for (window, counts) in fixed {
-            if self.timing.end_ms(window) + FIXED_KEPT_MS >= now_unix_ms {
-                held.fixed.insert(window, counts);
-            } else if let Err(error) = self.store.delete_window(window).await {
+        for (window, counts) in kept {
+            match counts {
+                Some(counts) => drop(held.fixed.insert(window, counts)),
+                None => held.unreadable.push(window),
+            }
+        }
+        for (window, _) in expired {
+            if let Err(error) = self.store.delete_window(window).await {
                 log::debug!("usage of window {window} not deleted: {error}");
             }
         }
--- a/crates/gateway/src/duties/holder/reports.rs
+++ b/crates/gateway/src/duties/holder/reports.rs
@@ -54,7 +54,8 @@
         let held = self.held.as_ref()?;
         let mut pending = held.plan.pending(&self.timing, unix_ms, is_closed);
         if let Pending::Report(window) = pending {
-            if held.lost_through >= Some(window) && !held.fixed.contains_key(&window) {
+            let is_lost = held.lost_through >= Some(window) && !held.fixed.contains_key(&window);
+            if is_lost || held.unreadable.contains(&window) {
                 pending = Pending::Abandon(window);
             }
         }
@@ -148,10 +149,12 @@
             Ok(fixed) => {
                 let mut fixed = fixed.into_iter();
                 let found = fixed.find(|(other, _)| *other == window);
-                if found.is_none() {
-                    self.on_failure(window, "the fixed counts exist, but are not listed");
+                match found {
+                    None => self.on_failure(window, "the fixed counts exist, but are not listed"),
+                    Some((_, None)) => self.held.as_mut()?.unreadable.push(window),
+                    Some((_, Some(counts))) => return Some(counts),
                 }
-                found.map(|(_, counts)| counts)
+                None
             }
             Err(error) => {
                 self.on_failure(window, &error.to_string());
@@ -261,6 +264,7 @@
             return;
         };
         held.plan.on_done(window);
+        held.unreadable.retain(|other| *other > window);
         held.doubtful = None;
         held.paused_since = None;
         let kept = FIXED_KEPT_MS / self.timing.window_ms;
--- a/crates/gateway/src/duties/holder/restoration.rs
+++ b/crates/gateway/src/duties/holder/restoration.rs
@@ -1,10 +1,11 @@
 //! What a holder does when the store came back from an older copy: the lease is void, and
 //! the counts that were fixed since the copy are missing.
 
-use policy::metering::{Window, WindowCounts};
+use policy::metering::Window;
 use types::TimeMs;
 
 use super::Performer;
+use crate::duties::FixedWindow;
 
 /// Time for which it does so, in milliseconds: the lease is held again by then.
 const RESTORED_MS: u64 = 10_000;
@@ -46,18 +47,21 @@
 
     /// Fixes what this process had fixed before the store came back once more, so that
     /// a later holder finds it.
-    pub(super) async fn fix_again(&mut self, fixed: &mut Vec<(Window, WindowCounts)>) {
+    pub(super) async fn fix_again(&mut self, fixed: &mut Vec<FixedWindow>) {
         let reported_through = self.lease.reported_through();
         for (window, counts) in self.fixed_before_restore.take().into_iter().flatten() {
-            let is_listed = fixed.iter().any(|(other, _)| *other == window);
-            if is_listed || reported_through.is_some_and(|through| window <= through) {
+            if reported_through.is_some_and(|through| window <= through) {
+                continue;
+            }
+            if let Some((_, listed)) = fixed.iter_mut().find(|(other, _)| *other == window) {
+                listed.get_or_insert(counts);
                 continue;
             }
             // The counts were perhaps sent, so they count without the answer, too.
             if let Err(error) = self.store.fix_window(window, &counts).await {
                 log::warn!("usage of window {window} not fixed again: {error}");
             }
-            fixed.push((window, counts));
+            fixed.push((window, Some(counts)));
         }
     }
 }
--- a/crates/gateway/src/duties/interface.rs
+++ b/crates/gateway/src/duties/interface.rs
@@ -7,6 +7,9 @@
 use store::{BoxFuture, Era, StoreError};
 use types::InstanceId;
 
+/// A window with its fixed counts, `None` if these can't be read.
+pub type FixedWindow = (Window, Option<WindowCounts>);
+
 /// Tickets of the lease and fixed counts in the platform's store.
 pub trait DutyStore: Send + Sync {
     /// Returns the latest era of the store's history that any response has named.
@@ -16,7 +19,7 @@
     ///
     /// # Errors
     ///
-    /// [`StoreError`] if the store did not answer or a ticket is not readable.
+    /// [`StoreError`] if the store did not answer.
     fn list_tickets(&self) -> BoxFuture<'_, Result<Vec<ListedTicket>, StoreError>>;
 
     /// Returns the tickets that have changed since the last list or check. They may
@@ -68,12 +71,12 @@
         counts: &'a WindowCounts,
     ) -> BoxFuture<'a, Result<bool, StoreError>>;
 
-    /// Returns all windows with fixed counts.
+    /// Returns all windows with fixed counts; `None` for counts that can't be read.
     ///
     /// # Errors
     ///
     /// [`StoreError`] if the store did not answer.
-    fn fixed_windows(&self) -> BoxFuture<'_, Result<Vec<(Window, WindowCounts)>, StoreError>>;
+    fn fixed_windows(&self) -> BoxFuture<'_, Result<Vec<FixedWindow>, StoreError>>;
 
     /// Deletes the fixed counts of a window, if they exist.
     ///
--- a/crates/gateway/src/duties/mod.rs
+++ b/crates/gateway/src/duties/mod.rs
@@ -31,7 +31,7 @@
 
 pub(crate) use exchange::{exchange_usage, flush_usage};
 pub(crate) use holder::perform_duties;
-pub use interface::{DutyApi, DutyApiFactory, DutyCaller, DutyError, DutyStore};
+pub use interface::{DutyApi, DutyApiFactory, DutyCaller, DutyError, DutyStore, FixedWindow};
 pub use metering::UsageRecord;
 pub use settings::DutySettings;
 
--- a/crates/gateway/src/feed_watcher.rs
+++ b/crates/gateway/src/feed_watcher.rs
@@ -247,7 +247,7 @@
 }
 
 /// Logs and counts an object, or a part of one, that is ignored.
-pub(crate) fn log_unreadable(feed: &'static str, name: &str, reason: String) {
+pub fn log_unreadable(feed: &'static str, name: &str, reason: String) {
     metrics::counter!("limpetgw_gateway_unreadable_total", "feed" => feed).increment(1);
     emit(&GatewayEvent::EntryUnreadable {
         feed: feed.into(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,9 +30,11 @@
 mod upstream;
 
 pub use duties::{
-    DutyApi, DutyApiFactory, DutyCaller, DutyError, DutySettings, DutyStore, UsageRecord,
+    DutyApi, DutyApiFactory, DutyCaller, DutyError, DutySettings, DutyStore, FixedWindow,
+    UsageRecord,
 };
 pub use feed::{Feed, FeedEntry, Listing, WatchResult};
+pub use feed_watcher::log_unreadable;
 pub use header_codec::{HeaderCodec, RequestMeta, ResponseMeta, UpstreamRequestMeta};
 pub use live::{
     read_settings_file, DutyNames, FileSettings, Flag, LiveSettings, SettingsFileError,
