Gateway: a response that began during the upload can't end with its connection

The HTTP library had not read meanwhile: it writes a whole body in one poll if the other side takes it as fast (144 writes, then the first read, in a trace).

Change: the transport makes the library look for the response after each 256 KiB, which also gives other tasks of the thread their turn, and remembers that the response began before the request was sent. Such a response is refused at the end of its connection: the request may have run, and one that may be repeated is. Ruled out: the length of the kernel's send queue, which shows nothing about buffers further on, and needs unsafe code.

--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -20,7 +20,7 @@
 
 use super::{
     instance_stream::{InstanceStream, UnproductiveBytes},
-    request_body::{RequestBody, UnsentBody},
+    request_body::{RequestBody, UploadState},
 };
 
 /// Future that performs the I/O of a connection. The task that uses the
@@ -71,7 +71,7 @@
     sender: http1::SendRequest<RequestBody>,
     driver: Pin<Box<Driver>>,
     unproductive: UnproductiveBytes,
-    unsent: UnsentBody,
+    upload: UploadState,
     idle_since: Instant,
     idle_max: Duration,
 }
@@ -90,12 +90,12 @@
         let stream = TcpStream::connect(addr).or(timed_out).await?;
         stream.set_nodelay(true)?;
         let unproductive = UnproductiveBytes::default();
-        let unsent = UnsentBody::default();
+        let upload = UploadState::default();
         let stream = InstanceStream::new(
             stream,
             UNPRODUCTIVE_MAX_BYTES,
             unproductive.clone(),
-            unsent.clone(),
+            upload.clone(),
         );
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(BUFFER_MAX_BYTES)
@@ -106,7 +106,7 @@
             sender,
             driver: Box::pin(driver),
             unproductive,
-            unsent,
+            upload,
             idle_since: Instant::now(),
             idle_max: DEFAULT_IDLE_MAX,
         })
@@ -135,8 +135,8 @@
         request: Request<Bytes>,
     ) -> Result<Result<Response, NotSent>, ExchangeError> {
         self.unproductive.reset();
-        let unsent = self.unsent.clone();
-        let request = request.map(|bytes| RequestBody::new(bytes, unsent));
+        let upload = self.upload.clone();
+        let request = request.map(|bytes| RequestBody::new(bytes, upload));
         let mut response = pin!(self.sender.try_send_request(request));
         let mut driver = Some(self.driver);
         let received = poll_fn(|cx| {
@@ -156,7 +156,7 @@
                     sender: self.sender,
                     driver,
                     unproductive: self.unproductive,
-                    unsent: self.unsent,
+                    upload: self.upload,
                 }))
             }
             Err(mut error) => match error.take_message() {
@@ -178,7 +178,7 @@
     /// `None` once the connection is closed.
     driver: Option<Pin<Box<Driver>>>,
     unproductive: UnproductiveBytes,
-    unsent: UnsentBody,
+    upload: UploadState,
 }
 
 impl Response {
@@ -238,7 +238,7 @@
             sender: self.sender,
             driver,
             unproductive: self.unproductive,
-            unsent: self.unsent,
+            upload: self.upload,
             idle_since: Instant::now(),
             idle_max: idle_max(&self.headers),
         })
--- a/crates/gateway/src/upstream/instance_stream.rs
+++ b/crates/gateway/src/upstream/instance_stream.rs
@@ -7,7 +7,8 @@
 //!
 //! A response without a length ends with its connection. If the instance ends the
 //! connection before it has received the request, it broke off, and its response must
-//! not count as complete.
+//! not count as complete. Buffers on the way may take the rest of the request before the
+//! end arrives, so a response that began before the request was sent can't end so either.
 
 use std::{
     io,
@@ -22,7 +23,12 @@
 use futures_lite::{AsyncRead, AsyncWrite};
 use smol::net::TcpStream;
 
-use super::request_body::UnsentBody;
+use super::request_body::UploadState;
+
+/// Number of bytes that are written without a look for the response, so that an early one
+/// is noticed, and other tasks of the thread have their turn. The HTTP library writes a
+/// whole body in one poll where the instance reads as fast.
+const WRITTEN_IN_TURN_MAX_BYTES: usize = 256 << 10;
 
 /// Number of bytes read since the response last advanced, shared between a
 /// connection's transport and its user.
@@ -43,17 +49,20 @@
 }
 
 /// TCP stream whose reads fail after `max_bytes` unproductive bytes, and instead of
-/// reporting an end of the connection before all that was written has been sent.
+/// reporting an end of the connection if the response began, or the connection ends, before
+/// all that was written has been sent.
 #[derive(Debug)]
 pub(super) struct InstanceStream {
     stream: TcpStream,
     max_bytes: usize,
     unproductive: UnproductiveBytes,
-    unsent: UnsentBody,
+    upload: UploadState,
     /// Whether the user of the stream has more to write of what it has buffered, or a
     /// write failed. The error of a reset is reported only once: after a write reported
     /// it, reads see a clean end.
     is_write_pending: bool,
+    /// Number of bytes written since the last read or pause.
+    written_in_turn: usize,
 }
 
 impl InstanceStream {
@@ -61,14 +70,15 @@
         stream: TcpStream,
         max_bytes: usize,
         unproductive: UnproductiveBytes,
-        unsent: UnsentBody,
+        upload: UploadState,
     ) -> Self {
         Self {
             stream,
             max_bytes,
             unproductive,
-            unsent,
+            upload,
             is_write_pending: false,
+            written_in_turn: 0,
         }
     }
 }
@@ -79,9 +89,14 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
+        self.written_in_turn = 0;
         let read_bytes = ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        let is_sending = self.is_write_pending || self.unsent.is_some();
-        if read_bytes == 0 && !buf.is_empty() && is_sending {
+        let is_sending = self.is_write_pending || self.upload.has_unsent();
+        if is_sending && read_bytes > 0 {
+            self.upload.on_early_response();
+        }
+        let breaks_off = is_sending || self.upload.was_responded_early();
+        if read_bytes == 0 && !buf.is_empty() && breaks_off {
             return Poll::Ready(Err(io::Error::new(
                 io::ErrorKind::ConnectionAborted,
                 "the instance ended the connection before it had received the request",
@@ -107,7 +122,14 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.is_write_pending = true;
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        if self.written_in_turn >= WRITTEN_IN_TURN_MAX_BYTES {
+            self.written_in_turn = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let written_bytes = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
+        self.written_in_turn += written_bytes;
+        Poll::Ready(Ok(written_bytes))
     }
 
     /// Called once all that is buffered was written.
--- a/crates/gateway/src/upstream/request_body.rs
+++ b/crates/gateway/src/upstream/request_body.rs
@@ -20,18 +20,40 @@
 /// Size of a piece, in bytes. The library asks for pieces until its buffer is full.
 const PIECE_BYTES: usize = 16 << 10;
 
-/// Whether a part of the request's body was not passed on yet, shared between a body and
-/// the transport of its connection.
+/// How far the body of the request was passed on, shared between a body and the transport
+/// of its connection.
 #[derive(Clone, Debug, Default)]
-pub(super) struct UnsentBody(Arc<AtomicBool>);
+pub(super) struct UploadState(Arc<UploadFlags>);
 
-impl UnsentBody {
-    pub(super) fn is_some(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+#[derive(Debug, Default)]
+struct UploadFlags {
+    has_unsent: AtomicBool,
+    was_responded_early: AtomicBool,
+}
+
+impl UploadState {
+    /// Returns whether a part of the body was not passed on yet.
+    pub(super) fn has_unsent(&self) -> bool {
+        self.0.has_unsent.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the response began before the request had been sent.
+    pub(super) fn was_responded_early(&self) -> bool {
+        self.0.was_responded_early.load(Ordering::Relaxed)
+    }
+
+    /// Records that a part of the response arrived before the request had been sent.
+    pub(super) fn on_early_response(&self) {
+        self.0.was_responded_early.store(true, Ordering::Relaxed);
+    }
+
+    fn begin(&self, has_body: bool) {
+        self.0.was_responded_early.store(false, Ordering::Relaxed);
+        self.set_unsent(has_body);
     }
 
-    fn set(&self, is_some: bool) {
-        self.0.store(is_some, Ordering::Relaxed);
+    fn set_unsent(&self, has_unsent: bool) {
+        self.0.has_unsent.store(has_unsent, Ordering::Relaxed);
     }
 }
 
@@ -39,15 +61,15 @@
 #[derive(Debug)]
 pub(super) struct RequestBody {
     rest: Bytes,
-    unsent: UnsentBody,
+    upload: UploadState,
 }
 
 impl RequestBody {
-    pub(super) fn new(bytes: Bytes, unsent: UnsentBody) -> Self {
-        unsent.set(!bytes.is_empty());
+    pub(super) fn new(bytes: Bytes, upload: UploadState) -> Self {
+        upload.begin(!bytes.is_empty());
         Self {
             rest: bytes,
-            unsent,
+            upload,
         }
     }
 }
@@ -65,7 +87,7 @@
         }
         let piece_bytes = self.rest.len().min(PIECE_BYTES);
         let piece = self.rest.split_to(piece_bytes);
-        self.unsent.set(!self.rest.is_empty());
+        self.upload.set_unsent(!self.rest.is_empty());
         Poll::Ready(Some(Ok(Frame::data(piece))))
     }
 
