--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -138,7 +138,8 @@
 }
 
 /// Forwards bytes in one direction until either side closes, a read or write
-/// fails, or the connection is reset; then closes both sides.
+/// fails, or the connection is reset; then closes both sides. If the server has ended its
+/// response, the client may send on until one of them closes.
 fn relay(
     mut from: TcpStream,
     mut to: TcpStream,
@@ -150,12 +151,16 @@
     let mut buffer = vec![0; 16 << 10];
     // Setting the timeout fails only on a closed connection.
     let _ = from.set_read_timeout(Some(BLOCKED_POLL_INTERVAL * 5));
+    let mut has_ended = false;
     loop {
         if is_reset() {
             break;
         }
         let count = match from.read(&mut buffer) {
-            Ok(0) => break,
+            Ok(0) => {
+                has_ended = true;
+                break;
+            }
             Ok(count) => count,
             Err(error) if is_timeout(&error) => continue,
             Err(_) => break,
@@ -171,6 +176,10 @@
         }
     }
     // Shutdown fails only if the side is closed already.
+    if has_ended && direction == Direction::ToClient {
+        let _ = to.shutdown(Shutdown::Write);
+        return;
+    }
     let _ = from.shutdown(Shutdown::Both);
     let _ = to.shutdown(Shutdown::Both);
 }
