--- a/crates/telemetry/src/events/gateway.rs
+++ b/crates/telemetry/src/events/gateway.rs
@@ -181,13 +181,14 @@
             lost_ms: u64,
         } = "The platform's store responds again.", "Nothing.";
         5014 Warn EntryUnreadable {
-            /// Part of the platform's store that the gateway watches: routing or roster.
+            /// Part of the platform's store that the gateway reads, such as routing, roster or
+            /// usage-windows.
             feed: String,
-            /// Name of the object that could not be decoded.
+            /// Name of the object that could not be decoded, or path of the part.
             name: String,
             /// Description of the decoding error.
             reason: String,
-        } = "An object in the platform's store could not be decoded and is ignored.",
+        } = "An object in the platform's store, or a part of one, could not be decoded and is out of force.",
             "Find out which program wrote the object.";
         5015 Info OlderRoutingIgnored {
             /// Version that the store returned.
