--- a/crates/coord/src/ticket_lease/machine.rs
+++ b/crates/coord/src/ticket_lease/machine.rs
@@ -643,13 +643,9 @@
         }
         // One that was released without having been held says nothing about those
         // before it.
-        let may_have_held = |listed: &&&ListedTicket| {
-            let ticket = &listed.ticket;
-            ticket.held || !ticket.released
-        };
         let newest = others
             .iter()
-            .filter(may_have_held)
+            .filter(|listed| may_have_held(listed))
             .max_by_key(|listed| listed.order());
         self.is_released = newest.is_some_and(|listed| listed.ticket.released);
         // The owner of a ticket that was held has waited for all older ones, and
@@ -664,23 +660,28 @@
             self.unobserved_until = Some(now);
         }
         self.observed = seen;
-        // The owner of a newer ticket is no former holder.
+        self.learn_former_holders(own, others);
+    }
+
+    /// Takes over the former holders from the newest ticket before the own one that may
+    /// have been held. The owner of a newer ticket is no former holder.
+    fn learn_former_holders(&mut self, own: Option<&ListedTicket>, others: &[&ListedTicket]) {
         let own_order = own.map_or(u64::MAX, ListedTicket::order);
         let former = others
             .iter()
-            .filter(may_have_held)
-            .filter(|listed| listed.order() < own_order)
+            .filter(|listed| may_have_held(listed) && listed.order() < own_order)
             .max_by_key(|listed| listed.order());
-        if let Some(former) = former {
-            let mut holders = vec![FormerHolder {
-                holder: former.ticket.holder.clone(),
-                nonce: former.ticket.nonce.clone(),
-            }];
-            holders.extend(former.ticket.former_holders.iter().cloned());
-            holders.dedup();
-            holders.truncate(FORMER_HOLDERS_MAX);
-            self.former_holders = holders;
-        }
+        let Some(former) = former else {
+            return;
+        };
+        let mut holders = vec![FormerHolder {
+            holder: former.ticket.holder.clone(),
+            nonce: former.ticket.nonce.clone(),
+        }];
+        holders.extend(former.ticket.former_holders.iter().cloned());
+        holders.dedup();
+        holders.truncate(FORMER_HOLDERS_MAX);
+        self.former_holders = holders;
     }
 
     fn contend_if_vacant(&mut self, now: TimeMs) {
@@ -786,3 +787,9 @@
         self.read_at = now + self.read_interval_ms;
     }
 }
+
+/// Returns whether the owner may have held the lease under this ticket: the holder notes it
+/// with its first renewal, and truly when it releases the ticket.
+fn may_have_held(listed: &ListedTicket) -> bool {
+    listed.ticket.held || !listed.ticket.released
+}
