--- a/crates/gateway/src/duties/holder/restoration.rs
+++ b/crates/gateway/src/duties/holder/restoration.rs
@@ -7,7 +7,8 @@
 use super::Performer;
 use crate::duties::FixedWindow;
 
-/// Time for which it does so, in milliseconds: the lease is held again by then.
+/// Time for which other processes contend later than the holder before, in milliseconds:
+/// the lease is held again by then.
 const RESTORED_MS: u64 = 10_000;
 
 impl Performer {
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -41,7 +41,7 @@
 /// Line of a long body, which quotes a request.
 const LONG_BODY_LINE: &str = "POST /cut/quoted HTTP/1.1\r\nHost: a\r\n\r\n";
 const LONG_BODY_LINES: usize = 1_600;
-/// Length of a body that the sockets on its way can't hold, in bytes.
+/// Length of a body that takes long to send, in bytes.
 const HUGE_BODY_BYTES: usize = 9 << 20;
 /// Pause between two requests of a caller.
 const REQUEST_GAP_MS: std::ops::Range<u64> = 5..60;
@@ -184,8 +184,8 @@
         (kind, request.with_deadline_ms(DEADLINE_MS))
     }
 
-    /// Builds a body; one in four is longer than any request head, one in ten than the
-    /// buffers of all sockets on its way.
+    /// Builds a body; one in four is longer than any request head, one in ten takes
+    /// long to send.
     fn generate_body(&mut self) -> String {
         match self.rng.random_range(0..40) {
             0..=3 => "huge ".repeat(HUGE_BODY_BYTES / 5),
