Configuration: a route that can't be read does not change the order of the others

What callers would see: with one unreadable route and more than ten positions of teams and routes, requests of different urgency get one priority.

Cause: such a route stays in the table, so that its requests are refused, and its rank took part in the order that is mapped to the ten priorities of the instances.

Change: only routes with an upstream have a part in the order.

Test: foreign_documents::unreadable_route_does_not_change_the_order_of_other_requests, red before (255, 255, 254 instead of 255, 254, 253).

--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -214,9 +214,10 @@
     /// Returns the priority of a request within this configuration, from
     /// `u8::MAX` for the most urgent downwards. Requests are ordered by the rank of
     /// the team, then of the route. Without a rank of the team, the rank of the
-    /// route is used for both.
+    /// route is used for both. Routes without an upstream have no part in the order.
     pub fn priority(&self, team: Option<&Team>, route: &Route) -> Priority {
-        let route_ranks = distinct_ranks(self.all_routes().map(|route| route.rank));
+        let routes = self.all_routes().filter(|route| route.is_available());
+        let route_ranks = distinct_ranks(routes.map(|route| route.rank));
         let teams = self.teams.iter().flat_map(Teams::all);
         let team_ranks = distinct_ranks(
             teams
@@ -262,6 +263,11 @@
         }
     }
 
+    /// Returns whether the route has an upstream.
+    pub fn is_available(&self) -> bool {
+        !self.weighted_upstreams.is_empty()
+    }
+
     /// Selects an upstream by weight, `None` if the route is unavailable. `random`
     /// must be uniformly distributed and drawn anew for each request.
     pub fn select_upstream(&self, random: u64) -> Option<&UpstreamName> {
