Readable objects of a list, and final statuses, in one place each

The instance list and the tickets of the duties left unreadable objects out by the same code, and gateway and agent named the lowest final status twice. Behaviour unchanged.

--- a/crates/agent/src/upstream/service.rs
+++ b/crates/agent/src/upstream/service.rs
@@ -6,10 +6,6 @@
 /// Maximum size of the response body of a plain service.
 const RESPONSE_MAX_BYTES: usize = 16 << 20;
 
-/// Lowest status of a final response. Lower ones announce another response or another
-/// protocol, which the agent does not ask for.
-const FINAL_STATUS_MIN: u16 = 200;
-
 /// Size of the read buffer.
 const READ_BYTES: usize = 16 << 10;
 
@@ -37,7 +33,7 @@
     has_body: bool,
 ) -> Result<ServiceResponse, Fault> {
     let status = response.status();
-    if status < FINAL_STATUS_MIN {
+    if !net::is_final_status(status) {
         return Err(Fault::Status { status });
     }
     let content_type = response.header("content-type").map(Into::into);
--- a/crates/gateway/src/attempt/receive.rs
+++ b/crates/gateway/src/attempt/receive.rs
@@ -25,10 +25,6 @@
 /// that the instance can still report in time whether the request ran.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(15);
 
-/// Lowest status of a final response. Lower ones announce another response or another
-/// protocol, which the gateway does not ask for.
-const FINAL_STATUS_MIN: u16 = 200;
-
 /// Successful result of an attempt: a complete response, or a stream whose
 /// first event has arrived.
 pub(super) enum Received {
@@ -201,7 +197,7 @@
                 retry_reserved: false,
             });
         }
-        if status < FINAL_STATUS_MIN {
+        if !net::is_final_status(status) {
             return Err(AttemptError::failed(format!(
                 "the instance responded {status}, which is not the status of a final response"
             )));
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -6,6 +6,8 @@
 
 use store::{BoxFuture, Position, StoreError};
 
+use crate::feed_watcher::log_unreadable;
+
 /// State of one decoded platform object.
 #[derive(Clone, Debug, PartialEq)]
 pub enum FeedEntry<T> {
@@ -34,6 +36,24 @@
     pub position: Position,
 }
 
+impl<T> Listing<T> {
+    /// Returns the objects of a list that could be decoded. The others are logged and
+    /// counted under `feed`.
+    pub fn into_readable(self, feed: &'static str) -> Vec<T> {
+        let entries = self.entries.into_iter();
+        entries
+            .filter_map(|entry| match entry {
+                FeedEntry::Present(value) => Some(value),
+                FeedEntry::Removed { .. } => None,
+                FeedEntry::Unreadable { name, reason } => {
+                    log_unreadable(feed, &name, reason);
+                    None
+                }
+            })
+            .collect()
+    }
+}
+
 /// Result of a watch call.
 #[derive(Clone, Debug, PartialEq)]
 pub enum WatchResult<T> {
--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     app::{lock, App},
-    feed::{Feed, FeedEntry, Listing},
+    feed::{Feed, FeedEntry},
     feed_watcher::{log_unreadable, watch_feed, Timing, Update},
     routing::Routing,
 };
@@ -81,13 +81,13 @@
         let revision = match update {
             Update::Snapshot(listing) => {
                 let revision = listing.position.revision;
-                let members = readable_members(listing);
+                let members = listing.into_readable(ROSTER_FEED);
                 lock(&app.roster).on_listing(app.now(), members, removal);
                 revision
             }
             Update::Restored(listing) => {
                 let revision = listing.position.revision;
-                let members = readable_members(listing);
+                let members = listing.into_readable(ROSTER_FEED);
                 lock(&app.roster).on_restored_listing(app.now(), members);
                 revision
             }
@@ -104,20 +104,6 @@
     .await;
 }
 
-fn readable_members(listing: Listing<Member>) -> Vec<Member> {
-    let entries = listing.entries.into_iter();
-    entries
-        .filter_map(|entry| match entry {
-            FeedEntry::Present(member) => Some(member),
-            FeedEntry::Removed { .. } => None,
-            FeedEntry::Unreadable { name, reason } => {
-                log_unreadable(ROSTER_FEED, &name, reason);
-                None
-            }
-        })
-        .collect()
-}
-
 /// Returns what the removal of an entry at this time means.
 fn removal(app: &App, timing: Timing) -> Removal {
     let drain = app.live.load().instance_drain;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -11,6 +11,7 @@
 mod machine;
 mod request_body;
 mod request_framing;
+mod status;
 
 pub use accept::{server_config, PacedListener};
 pub use client_budget::{BudgetExhausted, ClientBudget, ClientCounts, Component};
@@ -22,3 +23,4 @@
 pub use listener::{listen, BACKLOG_CONNECTIONS};
 pub use machine::own_machine;
 pub use request_body::{read_body, BodyError};
+pub use status::is_final_status;
